--- /dev/null
+++ b/src/bilberryglade_schema/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, records and settings; generated code."""
