--- /dev/null
+++ b/src/bilberryglade/_callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers."""
--- /dev/null
+++ b/src/bilberryglade/_callers/problems.py
@@ -0,0 +1,61 @@
+"""Refusals as problem documents (RFC 9457)."""
+
+import typing
+
+from starlette import responses
+
+from bilberryglade._codec import codec
+from bilberryglade._values import outcomes
+
+MEDIA_TYPE: typing.Final = 'application/problem+json'
+MILLISECONDS: typing.Final = 1000
+
+STATUSES: typing.Final = {
+    outcomes.Reason.no_route: 404,
+    outcomes.Reason.no_credentials: 401,
+    outcomes.Reason.not_allowed: 403,
+    outcomes.Reason.key_missing: 400,
+    outcomes.Reason.over_rate: 429,
+    outcomes.Reason.too_large: 413,
+    outcomes.Reason.already_tried: 409,
+    outcomes.Reason.deadline: 504,
+    outcomes.Reason.quarantined: 422,
+}
+UNAVAILABLE_STATUS: typing.Final = 503
+UNKNOWN_STATUS: typing.Final = 502
+
+
+class Problem(typing.TypedDict):
+    """Body of a refusal."""
+
+    type: str
+    title: str
+    status: int
+    #: `not-run` or `unknown`.
+    run_state: str
+
+
+def refusal(
+    outcome: outcomes.NotRun | outcomes.Unknown,
+) -> responses.Response:
+    """Returns the response that tells a caller of `outcome`."""
+    is_not_run = isinstance(outcome, outcomes.NotRun)
+    status = UNKNOWN_STATUS
+    if is_not_run:
+        status = STATUSES.get(outcome.reason, UNAVAILABLE_STATUS)
+    problem: Problem = {
+        'type': f'urn:bilberryglade:problem:{outcome.reason}',
+        'title': outcome.reason.replace('_', ' '),
+        'status': status,
+        'run_state': 'not-run' if is_not_run else 'unknown',
+    }
+    headers = {}
+    if isinstance(outcome, outcomes.NotRun) and outcome.retry_after_ms:
+        seconds = -(-outcome.retry_after_ms // MILLISECONDS)
+        headers['retry-after'] = str(seconds)
+    return responses.Response(
+        codec.encode_json(problem),
+        status_code=status,
+        headers=headers,
+        media_type=MEDIA_TYPE,
+    )
--- /dev/null
+++ b/src/bilberryglade/_codec/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding and decoding; decisions never import this package."""
--- /dev/null
+++ b/src/bilberryglade/_commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: each command is a registered function."""
--- /dev/null
+++ b/src/bilberryglade/_delivery/__init__.py
@@ -0,0 +1,1 @@
+"""Delivers a routed request through the leader of its target."""
--- /dev/null
+++ b/src/bilberryglade/_delivery/messages.py
@@ -0,0 +1,113 @@
+"""Turns requests and outcomes into peer messages and back."""
+
+import time
+
+from bilberryglade._peers import handlers
+from bilberryglade._values import outcomes, requests
+from bilberryglade_schema import peer
+
+MILLISECONDS = 1000
+
+
+def forward_of(
+    sender: str,
+    request: requests.RoutedRequest,
+    target: str,
+) -> peer.Forward:
+    """Returns the message that forwards `request`."""
+    left = request.deadline - time.monotonic()
+    return {
+        'kind': 'forward',
+        'version': handlers.VERSION,
+        'sender': sender,
+        'request_id': request.request_id,
+        'organisation': request.organisation,
+        'service': request.service,
+        'slot': request.slot,
+        'target': target,
+        'key': request.key,
+        'method': request.method,
+        'path': request.path,
+        'headers': _packed(request.headers),
+        'body': request.body,
+        'remaining_ms': max(int(left * MILLISECONDS), 0),
+        'repeatable': request.repeatable,
+        'idempotency_digest': request.idempotency_digest,
+    }
+
+
+def request_of(message: peer.Forward) -> requests.RoutedRequest:
+    """Returns the request that `message` forwards."""
+    left = message['remaining_ms'] / MILLISECONDS
+    return requests.RoutedRequest(
+        request_id=message['request_id'],
+        organisation=message['organisation'],
+        service=message['service'],
+        slot=message['slot'],
+        key=message['key'],
+        method=message['method'],
+        path=message['path'],
+        headers=_unpacked(message['headers']),
+        body=message['body'],
+        deadline=time.monotonic() + left,
+        repeatable=message['repeatable'],
+        idempotency_digest=message['idempotency_digest'],
+    )
+
+
+def answer_of(
+    sender: str,
+    request_id: str,
+    outcome: outcomes.Outcome,
+) -> peer.Answer:
+    """Returns the message that carries `outcome` back."""
+    answer: peer.Answer = {
+        'kind': 'answer',
+        'version': handlers.VERSION,
+        'sender': sender,
+        'request_id': request_id,
+        'outcome': 'answered',
+        'reason': '',
+        'status': 0,
+        'headers': [],
+        'body': b'',
+    }
+    if isinstance(outcome, outcomes.Answered):
+        answer['status'] = outcome.status
+        answer['headers'] = _packed(outcome.headers)
+        answer['body'] = outcome.body
+        return answer
+    is_not_run = isinstance(outcome, outcomes.NotRun)
+    answer['outcome'] = 'not_run' if is_not_run else 'unknown'
+    answer['reason'] = outcome.reason
+    return answer
+
+
+def outcome_of(message: peer.Answer) -> outcomes.Outcome:
+    """Returns the outcome that `message` carries."""
+    if message['outcome'] == 'answered':
+        return outcomes.Answered(
+            status=message['status'],
+            headers=_unpacked(message['headers']),
+            body=message['body'],
+        )
+    reason = _reason(message['reason'])
+    if message['outcome'] == 'not_run':
+        return outcomes.NotRun(reason)
+    return outcomes.Unknown(reason)
+
+
+def _reason(text: str) -> outcomes.Reason:
+    if text in outcomes.Reason.__members__:
+        return outcomes.Reason(text)
+    return outcomes.Reason.answer_lost
+
+
+def _packed(headers: tuple[outcomes.Header, ...]) -> list[peer.Header]:
+    return [{'name': header.name, 'value': header.text} for header in headers]
+
+
+def _unpacked(headers: list[peer.Header]) -> tuple[outcomes.Header, ...]:
+    return tuple(
+        outcomes.Header(header['name'], header['value']) for header in headers
+    )
--- /dev/null
+++ b/src/bilberryglade/_instance/composition.py
@@ -0,0 +1,167 @@
+"""The composition root: wires the parts of one entry instance."""
+
+import asyncio
+import contextlib
+import signal
+import typing
+import uuid
+from collections import abc
+
+import aiosonic
+import loguru
+import result
+import uvicorn
+from aiosonic import connectors, pools
+from starlette import applications
+
+from bilberryglade import _state
+from bilberryglade._callers import application as callers
+from bilberryglade._delivery import delivery, dispatcher, peer_handlers
+from bilberryglade._instance import duties
+from bilberryglade._log import follower, recorder
+from bilberryglade._ownership import leases
+from bilberryglade._peers import network
+from bilberryglade._listing import list_client
+from bilberryglade._log import log_client
+from bilberryglade._state import ownership_folds, rule_folds, topology_folds
+from bilberryglade._targets import client
+from bilberryglade_schema import settings
+
+CONNECTIONS_PER_HOST: typing.Final = 130
+JOIN_SECONDS: typing.Final = 10.0
+REGISTERED: typing.Final = (
+    _state,
+    ownership_folds,
+    rule_folds,
+    topology_folds,
+    peer_handlers,
+)
+
+
+class _Server(uvicorn.Server):
+    @contextlib.contextmanager
+    def capture_signals(self) -> abc.Iterator[None]:
+        yield
+
+
+class Node:
+    """All parts of one entry instance."""
+
+    def __init__(self, config: settings.InstanceSettings) -> None:
+        """Wires the parts; nothing runs yet."""
+        self.config = config
+        self.boot = uuid.uuid4().hex
+        name = config['instance']
+        pool = pools.PoolConfig(size=CONNECTIONS_PER_HOST)
+        self.http = aiosonic.HTTPClient(
+            connectors.TCPConnector(pool_configs={':default': pool}),
+        )
+        platform = config['platform']
+        self.log = log_client.LogClient(platform['log_url'], self.http)
+        self.reader = follower.Follower(
+            self.log,
+            config['timings']['log_wait_ms'],
+        )
+        self.writer = recorder.Recorder(self.log, self.reader)
+        self.targets = client.TargetClient(self.http)
+        self.granter = leases.Leases(
+            name,
+            self.reader,
+            self.targets,
+            config['timings'],
+        )
+        self.peers = network.PeerNetwork(
+            config['listen']['peers'],
+            config['peers'],
+            config['limits']['peer_queue_length'],
+        )
+        self.delivery = delivery.Delivery(
+            name,
+            self.reader,
+            self.granter,
+            dispatcher.Dispatcher(
+                self.targets,
+                config['limits']['queue_length'],
+            ),
+            self.peers,
+        )
+        self.duties = duties.Duties(
+            name,
+            config['failure_domain'],
+            self.reader,
+            self.writer,
+            list_client.ListClient(platform['list_url'], self.http),
+        )
+        self.front = callers.CallerFront(self.reader, self.delivery, config)
+        self.rejected_messages = 0
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT."""
+        self.peers.open()
+        background = [
+            asyncio.create_task(loop)
+            for loop in (
+                self.reader.follow(),
+                self.granter.renew(),
+                self.duties.perform(),
+                self._receive(),
+            )
+        ]
+        await self._join()
+        server = _server(
+            callers.application(self.front),
+            self.config['listen']['callers'],
+        )
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, _stop, server)
+        await server.serve()
+        for task in background:
+            task.cancel()
+        await asyncio.gather(*background, return_exceptions=True)
+        self.peers.close()
+
+    async def _join(self) -> None:
+        listen = self.config['listen']
+        joined = await self.writer.commit(
+            {
+                'id': recorder.new_record_id(),
+                'kind': 'instance_joined',
+                'instance': self.config['instance'],
+                'boot': self.boot,
+                'failure_domain': self.config['failure_domain'],
+                'peer_address': listen['peers'],
+                'admin_address': listen['admin'],
+            },
+            JOIN_SECONDS,
+        )
+        loguru.logger.info('joined: {}', joined)
+
+    async def _receive(self) -> None:
+        while True:
+            received = await self.peers.receive()
+            if isinstance(received, result.Err):
+                self.rejected_messages += 1
+                continue
+            handler, message = received.ok_value
+            handler.handle(self, message)
+
+
+def _stop(server: uvicorn.Server) -> None:
+    server.should_exit = True
+
+
+def _server(
+    application: applications.Starlette,
+    address: str,
+) -> uvicorn.Server:
+    host, port = address.split(':')
+    config = uvicorn.Config(
+        application,
+        host=host,
+        port=int(port),
+        log_level='error',
+        access_log=False,
+        lifespan='off',
+    )
+    return _Server(config)
--- /dev/null
+++ b/src/bilberryglade/_listing/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's lagging list of members."""
--- /dev/null
+++ b/src/bilberryglade/_listing/list_client.py
@@ -0,0 +1,53 @@
+"""Client of the platform's lagging list of members."""
+
+import typing
+
+import aiosonic
+import result
+from aiosonic import exceptions, timeout
+
+from bilberryglade._codec import codec
+from bilberryglade_schema import platform
+
+REQUEST_SECONDS: typing.Final = 2.0
+OK_STATUS: typing.Final = 200
+
+
+class ListUnavailable(typing.NamedTuple):
+    """The list could not be read."""
+
+    detail: str
+
+
+class ListClient:
+    """Reads the list of members."""
+
+    def __init__(self, url: str, http: aiosonic.HTTPClient) -> None:
+        """Talks to the service at `url` through `http`."""
+        self.url = url
+        self.http = http
+
+    async def read(
+        self,
+    ) -> result.Result[list[platform.ListedMember], ListUnavailable]:
+        """Returns the rows of the list; they may be out of date."""
+        limits = timeout.Timeouts(request_timeout=REQUEST_SECONDS)
+        try:
+            response = await self.http.get(
+                f'{self.url}/members',
+                timeouts=limits,
+            )
+            raw = await response.content()
+        except (
+            exceptions.AiosonicError,
+            exceptions.BaseTimeout,
+            OSError,
+        ) as error:
+            return result.Err(ListUnavailable(repr(error)))
+        if response.status_code != OK_STATUS:
+            return result.Err(ListUnavailable(f'status {response.status_code}'))
+        return (
+            codec.decode_json(raw, platform.MemberList)
+            .map(lambda answer: answer['members'])
+            .map_err(lambda error: ListUnavailable(error.detail))
+        )
--- /dev/null
+++ b/src/bilberryglade/_log/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's append-only log: client, follower and recorder."""
--- /dev/null
+++ b/src/bilberryglade/_peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances over ZeroMQ."""
--- /dev/null
+++ b/src/bilberryglade/_peers/network.py
@@ -0,0 +1,126 @@
+"""Sockets between instances: CURVE for members alone, bounded queues."""
+
+import typing
+from collections import abc
+
+import result
+import zmq
+import zmq.asyncio
+from zmq.auth import asyncio as zap
+
+from bilberryglade._codec import codec
+from bilberryglade._peers import handlers
+from bilberryglade_schema import peer, settings
+
+MAX_MESSAGE_BYTES: typing.Final = 20_971_520
+HEARTBEAT_MS: typing.Final = 500
+HEARTBEAT_TIMEOUT_MS: typing.Final = 1500
+LINGER_MS: typing.Final = 0
+
+
+class Rejected(typing.NamedTuple):
+    """A message from the network that was counted and skipped."""
+
+    cause: str
+
+
+class PeerNetwork:
+    """Receives on one ROUTER socket, sends on one DEALER socket a peer."""
+
+    def __init__(
+        self,
+        address: str,
+        keys: settings.PeerSettings,
+        queue_length: int,
+    ) -> None:
+        """Prepares sockets; `address` is an IP number and a port."""
+        self.address = address
+        self.keys = keys
+        self.queue_length = queue_length
+        self.context = zmq.asyncio.Context(io_threads=1)
+        self.authenticator = zap.AsyncioAuthenticator(self.context)
+        self.receiver = self.context.socket(zmq.ROUTER)
+        self.senders: dict[str, zmq.asyncio.Socket] = {}
+
+    def open(self) -> None:
+        """Binds the receiving socket; only holders of the fleet's key pass."""
+        self.authenticator.start()
+        self.authenticator.configure_curve_callback(
+            domain='*',
+            credentials_provider=self,
+        )
+        self.receiver.curve_server = True
+        self._secure(self.receiver)
+        self._bound(self.receiver)
+        self.receiver.bind(f'tcp://{self.address}')
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Tells the authenticator whether a client's public key is known."""
+        return key == self._public_key()
+
+    def send(self, address: str, message: abc.Mapping[str, object]) -> bool:
+        """Queues a message for the peer at `address`.
+
+        Returns False if the peer's queue is full; nothing was sent then.
+        """
+        sender = self.senders.get(address)
+        if sender is None:
+            sender = self._connect(address)
+        try:
+            zmq.Socket.send(sender, codec.encode_packed(message), zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        return True
+
+    async def receive(
+        self,
+    ) -> result.Result[tuple[handlers.Handler, typing.Any], Rejected]:
+        """Returns the next message with its handler, or why it is skipped."""
+        frames = await self.receiver.recv_multipart()
+        raw = frames[-1]
+        envelope = codec.decode_packed(raw, peer.Envelope)
+        if isinstance(envelope, result.Err):
+            return result.Err(Rejected('undecodable'))
+        handler = handlers.handlers.find(envelope.ok_value['kind'])
+        if handler is None:
+            return result.Err(Rejected('unknown_kind'))
+        message = codec.decode_packed(raw, handler.kind)
+        if isinstance(message, result.Err):
+            return result.Err(Rejected('malformed'))
+        return result.Ok((handler, message.ok_value))
+
+    def forget(self, addresses: abc.Container[str]) -> None:
+        """Closes the sending sockets of peers that are not in `addresses`."""
+        for address in list(self.senders):
+            if address not in addresses:
+                self.senders.pop(address).close(LINGER_MS)
+
+    def close(self) -> None:
+        """Closes all sockets without waiting."""
+        self.forget(())
+        self.receiver.close(LINGER_MS)
+        self.authenticator.stop()
+        self.context.destroy(LINGER_MS)
+
+    def _connect(self, address: str) -> zmq.asyncio.Socket:
+        sender = self.context.socket(zmq.DEALER)
+        sender.curve_serverkey = self._public_key()
+        self._secure(sender)
+        self._bound(sender)
+        sender.connect(f'tcp://{address}')
+        self.senders[address] = sender
+        return sender
+
+    def _secure(self, socket: zmq.asyncio.Socket) -> None:
+        socket.curve_publickey = self._public_key()
+        socket.curve_secretkey = self.keys['secret_key'].encode()
+
+    def _bound(self, socket: zmq.asyncio.Socket) -> None:
+        socket.set_hwm(self.queue_length)
+        socket.maxmsgsize = MAX_MESSAGE_BYTES
+        socket.heartbeat_ivl = HEARTBEAT_MS
+        socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
+        socket.linger = LINGER_MS
+
+    def _public_key(self) -> bytes:
+        return self.keys['public_key'].encode()
--- /dev/null
+++ b/src/bilberryglade/_targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets: their HTTP protocol, life cycle and choice."""
--- /dev/null
+++ b/src/bilberryglade/_values/__init__.py
@@ -0,0 +1,1 @@
+"""Core value types that every part shares."""
--- /dev/null
+++ b/src/bilberryglade/_values/outcomes.py
@@ -0,0 +1,61 @@
+"""What became of a request: answered, not run, or unknown."""
+
+import enum
+import typing
+
+
+class Header(typing.NamedTuple):
+    """One HTTP header; the name is in lower case."""
+
+    name: str
+    text: str
+
+
+class Reason(enum.StrEnum):
+    """Why a request has no answer from a target."""
+
+    no_route = 'no_route'
+    no_credentials = 'no_credentials'
+    key_unconfirmed = 'key_unconfirmed'
+    not_allowed = 'not_allowed'
+    key_missing = 'key_missing'
+    over_rate = 'over_rate'
+    no_owner = 'no_owner'
+    not_leader = 'not_leader'
+    queue_full = 'queue_full'
+    deadline = 'deadline'
+    target_unreachable = 'target_unreachable'
+    target_refused = 'target_refused'
+    peer_unreachable = 'peer_unreachable'
+    answer_lost = 'answer_lost'
+    already_tried = 'already_tried'
+    intent_not_recorded = 'intent_not_recorded'
+    quarantined = 'quarantined'
+    stopping = 'stopping'
+    too_large = 'too_large'
+
+
+class Answered(typing.NamedTuple):
+    """A target's whole answer."""
+
+    #: HTTP status that the target gave.
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+
+class NotRun(typing.NamedTuple):
+    """No byte reached a target, or the target refused before it started."""
+
+    reason: Reason
+    #: Milliseconds after which another try may succeed; 0 if none is known.
+    retry_after_ms: int = 0
+
+
+class Unknown(typing.NamedTuple):
+    """The request may have run: it was sent and no whole answer came back."""
+
+    reason: Reason
+
+
+Outcome: typing.TypeAlias = Answered | NotRun | Unknown
--- /dev/null
+++ b/src/bilberryglade/_values/requests.py
@@ -0,0 +1,28 @@
+"""A caller's request after it was matched to a route."""
+
+import typing
+
+from bilberryglade._values import outcomes
+
+
+class RoutedRequest(typing.NamedTuple):
+    """A request that may run, with everything its delivery needs."""
+
+    #: Never reused; correlates each hop of this request.
+    request_id: str
+    organisation: str
+    service: str
+    #: Slot of the key or, where the service has no key, of the request itself.
+    slot: int
+    #: Empty where the service is not divided by key.
+    key: str
+    method: str
+    #: Path and query string, as sent to the target.
+    path: str
+    headers: tuple[outcomes.Header, ...]
+    body: bytes
+    #: Monotonic seconds at which the caller gives up.
+    deadline: float
+    repeatable: bool
+    #: Digest of organisation and `Idempotency-Key`; empty if repeatable.
+    idempotency_digest: str
