--- /dev/null
+++ b/src/bilberryglade_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Deployments of stand-ins and instances for tests, demo and experiments."""
--- /dev/null
+++ b/src/bilberryglade_lab/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests over real processes."""
