--- a/src/bilberryglade/_callers/problems.py
+++ b/src/bilberryglade/_callers/problems.py
@@ -1,5 +1,6 @@
 """Refusals as problem documents (RFC 9457)."""
 
+import types
 import typing
 
 from starlette import responses
@@ -10,17 +11,19 @@
 MEDIA_TYPE: typing.Final = 'application/problem+json'
 MILLISECONDS: typing.Final = 1000
 
-STATUSES: typing.Final = {
-    outcomes.Reason.no_route: 404,
-    outcomes.Reason.no_credentials: 401,
-    outcomes.Reason.not_allowed: 403,
-    outcomes.Reason.key_missing: 400,
-    outcomes.Reason.over_rate: 429,
-    outcomes.Reason.too_large: 413,
-    outcomes.Reason.already_tried: 409,
-    outcomes.Reason.deadline: 504,
-    outcomes.Reason.quarantined: 422,
-}
+STATUSES: typing.Final = types.MappingProxyType(
+    {
+        outcomes.Reason.no_route: 404,
+        outcomes.Reason.no_credentials: 401,
+        outcomes.Reason.not_allowed: 403,
+        outcomes.Reason.key_missing: 400,
+        outcomes.Reason.over_rate: 429,
+        outcomes.Reason.too_large: 413,
+        outcomes.Reason.already_tried: 409,
+        outcomes.Reason.deadline: 504,
+        outcomes.Reason.quarantined: 422,
+    }
+)
 UNAVAILABLE_STATUS: typing.Final = 503
 UNKNOWN_STATUS: typing.Final = 502
 
--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -14,15 +14,17 @@
 from aiosonic import connectors, pools
 from starlette import applications
 
-from bilberryglade import _state
 from bilberryglade._callers import application as callers
 from bilberryglade._delivery import delivery, dispatcher, peer_handlers
 from bilberryglade._instance import duties
-from bilberryglade._log import follower, recorder
+from bilberryglade._listing import list_client
+from bilberryglade._log import follower, log_client, recorder
+from bilberryglade._membership import (
+    heartbeats,
+    peer_handlers as membership_handlers,
+)
 from bilberryglade._ownership import leases
 from bilberryglade._peers import network
-from bilberryglade._listing import list_client
-from bilberryglade._log import log_client
 from bilberryglade._state import ownership_folds, rule_folds, topology_folds
 from bilberryglade._targets import client
 from bilberryglade_schema import settings
@@ -30,11 +32,11 @@
 CONNECTIONS_PER_HOST: typing.Final = 130
 JOIN_SECONDS: typing.Final = 10.0
 REGISTERED: typing.Final = (
-    _state,
     ownership_folds,
     rule_folds,
     topology_folds,
     peer_handlers,
+    membership_handlers,
 )
 
 
@@ -75,6 +77,13 @@
             config['peers'],
             config['limits']['peer_queue_length'],
         )
+        self.heartbeats = heartbeats.Heartbeats(
+            name,
+            self.boot,
+            self.reader,
+            self.peers,
+            config['timings'],
+        )
         self.delivery = delivery.Delivery(
             name,
             self.reader,
@@ -104,6 +113,7 @@
                 self.reader.follow(),
                 self.granter.renew(),
                 self.duties.perform(),
+                self.heartbeats.beat(),
                 self._receive(),
             )
         ]
@@ -143,8 +153,7 @@
             if isinstance(received, result.Err):
                 self.rejected_messages += 1
                 continue
-            handler, message = received.ok_value
-            handler.handle(self, message)
+            received.ok_value.handler.handle(self, received.ok_value.message)
 
 
 def _stop(server: uvicorn.Server) -> None:
--- a/src/bilberryglade/_instance/config.py
+++ b/src/bilberryglade/_instance/config.py
@@ -25,7 +25,9 @@
     if isinstance(plain, result.Err):
         return result.Err(SettingsError('', plain.err_value.detail))
     try:
-        settings_checks.validate({'InstanceSettings': plain.ok_value})
+        settings_checks.validate(  # type: ignore[no-untyped-call]
+            {'InstanceSettings': plain.ok_value}
+        )
     except fastjsonschema.JsonSchemaValueException as error:
         path = '.'.join(str(part) for part in error.path[2:])
         return result.Err(SettingsError(path, error.message))
--- a/src/bilberryglade/_instance/duties.py
+++ b/src/bilberryglade/_instance/duties.py
@@ -5,8 +5,8 @@
 
 import result
 
-from bilberryglade._log import follower, recorder
 from bilberryglade._listing import list_client
+from bilberryglade._log import follower, recorder
 from bilberryglade._routing import placement, roles
 from bilberryglade._state import folding, state
 from bilberryglade_schema import platform
--- a/src/bilberryglade/_log/recorder.py
+++ b/src/bilberryglade/_log/recorder.py
@@ -6,8 +6,7 @@
 
 import result
 
-from bilberryglade._log import follower
-from bilberryglade._log import log_client
+from bilberryglade._log import follower, log_client
 from bilberryglade._state import folding, state
 
 APPEND_SECONDS: typing.Final = 1.0
--- /dev/null
+++ b/src/bilberryglade/_membership/__init__.py
@@ -0,0 +1,1 @@
+"""Heartbeats between instances and what follows from them."""
--- a/src/bilberryglade/_ownership/leases.py
+++ b/src/bilberryglade/_ownership/leases.py
@@ -1,7 +1,6 @@
 """Grants leases to the targets that this instance leads."""
 
 import asyncio
-import typing
 
 from bilberryglade._log import follower
 from bilberryglade._routing import roles
--- a/src/bilberryglade/_peers/network.py
+++ b/src/bilberryglade/_peers/network.py
@@ -5,7 +5,7 @@
 
 import result
 import zmq
-import zmq.asyncio
+from zmq import asyncio as zmq_asyncio
 from zmq.auth import asyncio as zap
 
 from bilberryglade._codec import codec
@@ -18,6 +18,13 @@
 LINGER_MS: typing.Final = 0
 
 
+class Received(typing.NamedTuple):
+    """A decoded message and the handler of its kind."""
+
+    handler: handlers.Handler
+    message: typing.Any
+
+
 class Rejected(typing.NamedTuple):
     """A message from the network that was counted and skipped."""
 
@@ -37,10 +44,10 @@
         self.address = address
         self.keys = keys
         self.queue_length = queue_length
-        self.context = zmq.asyncio.Context(io_threads=1)
+        self.context = zmq_asyncio.Context(io_threads=1)
         self.authenticator = zap.AsyncioAuthenticator(self.context)
         self.receiver = self.context.socket(zmq.ROUTER)
-        self.senders: dict[str, zmq.asyncio.Socket] = {}
+        self.senders: dict[str, zmq_asyncio.Socket] = {}
 
     def open(self) -> None:
         """Binds the receiving socket; only holders of the fleet's key pass."""
@@ -74,7 +81,7 @@
 
     async def receive(
         self,
-    ) -> result.Result[tuple[handlers.Handler, typing.Any], Rejected]:
+    ) -> result.Result[Received, Rejected]:
         """Returns the next message with its handler, or why it is skipped."""
         frames = await self.receiver.recv_multipart()
         raw = frames[-1]
@@ -84,10 +91,11 @@
         handler = handlers.handlers.find(envelope.ok_value['kind'])
         if handler is None:
             return result.Err(Rejected('unknown_kind'))
+        message: result.Result[typing.Any, codec.DecodeError]
         message = codec.decode_packed(raw, handler.kind)
         if isinstance(message, result.Err):
             return result.Err(Rejected('malformed'))
-        return result.Ok((handler, message.ok_value))
+        return result.Ok(Received(handler, message.ok_value))
 
     def forget(self, addresses: abc.Container[str]) -> None:
         """Closes the sending sockets of peers that are not in `addresses`."""
@@ -102,7 +110,7 @@
         self.authenticator.stop()
         self.context.destroy(LINGER_MS)
 
-    def _connect(self, address: str) -> zmq.asyncio.Socket:
+    def _connect(self, address: str) -> zmq_asyncio.Socket:
         sender = self.context.socket(zmq.DEALER)
         sender.curve_serverkey = self._public_key()
         self._secure(sender)
@@ -111,11 +119,11 @@
         self.senders[address] = sender
         return sender
 
-    def _secure(self, socket: zmq.asyncio.Socket) -> None:
+    def _secure(self, socket: zmq_asyncio.Socket) -> None:
         socket.curve_publickey = self._public_key()
         socket.curve_secretkey = self.keys['secret_key'].encode()
 
-    def _bound(self, socket: zmq.asyncio.Socket) -> None:
+    def _bound(self, socket: zmq_asyncio.Socket) -> None:
         socket.set_hwm(self.queue_length)
         socket.maxmsgsize = MAX_MESSAGE_BYTES
         socket.heartbeat_ivl = HEARTBEAT_MS
--- a/src/bilberryglade/_routing/matching.py
+++ b/src/bilberryglade/_routing/matching.py
@@ -2,12 +2,12 @@
 
 import typing
 from collections import abc
-from urllib import parse
+from urllib import parse as urls
 
 import result
 
 from bilberryglade._rules import rules
-from bilberryglade._values import outcomes
+from bilberryglade._values import outcomes, registry
 
 
 class Route(typing.NamedTuple):
@@ -35,6 +35,11 @@
     headers: tuple[outcomes.Header, ...]
 
 
+KeyExtractor: typing.TypeAlias = abc.Callable[[str, RequestLine], str | None]
+
+extractors: typing.Final = registry.Registry[KeyExtractor]('key place')
+
+
 def match(
     book: rules.RuleBook,
     organisation: str,
@@ -74,7 +79,7 @@
 
 def extract_key(service: rules.ServiceRule, line: RequestLine) -> str | None:
     """Returns the key of a request, '' if none is due, None if it is missing."""
-    return _extractors[service.key_place](service.key_name, line)
+    return extractors.entries[service.key_place](service.key_name, line)
 
 
 def is_repeatable(
@@ -123,18 +128,21 @@
     return path.startswith(prefix if prefix.endswith('/') else f'{prefix}/')
 
 
+@extractors.register('none')
 def _no_key(name: str, line: RequestLine) -> str | None:
     return ''
 
 
+@extractors.register('path')
 def _path_key(name: str, line: RequestLine) -> str | None:
     segments = line.path.split('/')
     position = int(name)
     if position >= len(segments):
         return None
-    return parse.unquote(segments[position]) or None
+    return urls.unquote(segments[position]) or None
 
 
+@extractors.register('header')
 def _header_key(name: str, line: RequestLine) -> str | None:
     for header in line.headers:
         if header.name == name:
@@ -142,16 +150,7 @@
     return None
 
 
+@extractors.register('query')
 def _query_key(name: str, line: RequestLine) -> str | None:
-    found = parse.parse_qs(line.query).get(name)
+    found = urls.parse_qs(line.query).get(name)
     return found[0] if found else None
-
-
-_extractors: typing.Final[
-    dict[rules.KeyPlace, abc.Callable[[str, RequestLine], str | None]]
-] = {
-    rules.KeyPlace.nowhere: _no_key,
-    rules.KeyPlace.path: _path_key,
-    rules.KeyPlace.header: _header_key,
-    rules.KeyPlace.query: _query_key,
-}
--- a/src/bilberryglade/_rules/grammar.py
+++ b/src/bilberryglade/_rules/grammar.py
@@ -28,4 +28,23 @@
 %ignore /[ \t]+/
 """
 
-LINE_PARSER: typing.Final = lark.Lark(GRAMMAR, parser='lalr')
+
+class LineParts(typing.NamedTuple):
+    """A parsed line, taken apart."""
+
+    #: Name of the rule kind.
+    kind: str
+    tokens: list[typing.Any]
+    comment: str
+
+
+def parts_of(tree: lark.Tree[typing.Any]) -> LineParts:
+    """Returns the parts of a parsed line."""
+    rule, comment = tree.children
+    return LineParts(str(rule.data), rule.children, str(comment.children[0]))
+
+
+LINE_PARSER: typing.Final = lark.Lark(
+    GRAMMAR,
+    parser='lalr',
+)
--- a/src/bilberryglade/_rules/reader.py
+++ b/src/bilberryglade/_rules/reader.py
@@ -6,7 +6,8 @@
 from bilberryglade._rules import grammar, kinds, rules
 
 ALLOWED_FORMS = (
-    'service NAME path PATH key none|path N|header H|query Q [isolation keep|yield], '
+    'service NAME path PATH key none|path N|header H|query Q '
+    '[isolation keep|yield], '
     'allow ORGANISATION to SERVICE rate N/s burst N, '
     'open SERVICE path PATH rate N/s burst N, '
     'once SERVICE METHOD PATH; each followed by "# who asked for it"'
@@ -45,11 +46,11 @@
         tree = grammar.LINE_PARSER.parse(line)
     except lark.UnexpectedInput as error:
         return result.Err(_syntax_error(number, line, error))
-    rule_tree, comment = tree.children
-    make = kinds.rule_kinds.entries[str(rule_tree.data)]
-    asked_by = str(comment.children[0]).lstrip('# ')
+    parts = grammar.parts_of(tree)
+    make = kinds.rule_kinds.entries[parts.kind]
+    asked_by = parts.comment.lstrip('# ')
     return result.Ok(
-        rules.RuleLine(number, make(list(rule_tree.children)), asked_by),
+        rules.RuleLine(number, make(parts.tokens), asked_by),
     )
 
 
@@ -65,10 +66,11 @@
             ALLOWED_FORMS,
         )
     column = max(getattr(error, 'column', 1), 1)
-    rest = line[column - 1 :].split('#')[0].strip() or 'end of line'
+    rest = line[column - 1 :].partition('#')[0].strip()
+    found = rest or 'end of line'
     return rules.RuleError(
         number,
-        f'column {column}: unexpected {rest!r}',
+        f'column {column}: unexpected {found!r}',
         ALLOWED_FORMS,
     )
 
@@ -83,12 +85,13 @@
     errors: list[rules.RuleError] = []
     for line in lines:
         subject = _subject(line.rule)
-        if subject in seen:
-            problem = f'repeats line {seen[subject]}'
+        first = seen.setdefault(subject, line.line)
+        if first != line.line:
+            problem = f'repeats line {first}'
             errors.append(rules.RuleError(line.line, problem, 'one rule each'))
-        seen.setdefault(subject, line.line)
-        if line.rule.service not in services:
-            problem = f'service {line.rule.service!r} has no service rule'
+        service = line.rule.service
+        if service not in services:
+            problem = f'service {service!r} has no service rule'
             allowed = ', '.join(sorted(services)) or 'none is declared'
             errors.append(rules.RuleError(line.line, problem, allowed))
     return errors
@@ -112,7 +115,9 @@
         services=tuple(
             sorted(services, key=lambda rule: len(rule.prefix), reverse=True),
         ),
-        allows=tuple(r for r in every if isinstance(r, rules.AllowRule)),
-        opens=tuple(r for r in every if isinstance(r, rules.OpenRule)),
-        onces=tuple(r for r in every if isinstance(r, rules.OnceRule)),
+        allows=tuple(
+            rule for rule in every if isinstance(rule, rules.AllowRule)
+        ),
+        opens=tuple(rule for rule in every if isinstance(rule, rules.OpenRule)),
+        onces=tuple(rule for rule in every if isinstance(rule, rules.OnceRule)),
     )
--- a/src/bilberryglade/_state/folding.py
+++ b/src/bilberryglade/_state/folding.py
@@ -97,6 +97,7 @@
     entry = folds.find(str(record.get('kind', '')))
     if entry is None:
         return reject(before, offset, 'unknown record kind')
+    decoded: result.Result[typing.Any, codec.DecodeError]
     decoded = codec.convert(record, entry.kind)
     if isinstance(decoded, result.Err):
         return reject(before, offset, decoded.err_value.detail)
--- a/src/bilberryglade/_state/ownership_folds.py
+++ b/src/bilberryglade/_state/ownership_folds.py
@@ -84,4 +84,5 @@
                 previous_target=old.target,
                 previous_fence=old.fence,
             )
-        return changing.finish()
+        moved: immutables.Map[int, state.SlotOwner] = changing.finish()
+    return moved
--- a/src/bilberryglade/_targets/client.py
+++ b/src/bilberryglade/_targets/client.py
@@ -105,7 +105,7 @@
             await response.content()
         except (exceptions.AiosonicError, exceptions.BaseTimeout, OSError):
             return False
-        return response.status_code == OK_STATUS
+        return bool(response.status_code == OK_STATUS)
 
 
 async def _single_use(body: bytes) -> abc.AsyncIterator[bytes]:
--- a/src/bilberryglade_lab/deployment.py
+++ b/src/bilberryglade_lab/deployment.py
@@ -46,7 +46,9 @@
         """Prepares a deployment of `shape`; nothing is started."""
         self.shape = shape
         self.folder = tempfile.TemporaryDirectory()
-        self.log_port, self.list_port = processes.free_ports(2)
+        ports = processes.free_ports(2)
+        self.log_port = ports[0]
+        self.list_port = ports[1]
         self.http = aiosonic.HTTPClient()
         self.targets: dict[str, TargetPlace] = {}
         self.instances: dict[str, InstancePlace] = {}
--- a/src/bilberryglade_lab/processes.py
+++ b/src/bilberryglade_lab/processes.py
@@ -20,9 +20,9 @@
 def free_ports(count: int) -> list[int]:
     """Returns `count` TCP ports on 127.0.0.1 that were free just now."""
     sockets = [socket.socket() for _ in range(count)]
-    for listener in sockets:
-        listener.bind(('127.0.0.1', 0))
-    ports = [listener.getsockname()[1] for listener in sockets]
+    for unbound in sockets:
+        unbound.bind(('127.0.0.1', 0))
+    ports = [bound.getsockname()[1] for bound in sockets]
     for listener in sockets:
         listener.close()
     return ports
--- a/src/bilberryglade_stand_ins/target_model.py
+++ b/src/bilberryglade_stand_ins/target_model.py
@@ -57,7 +57,7 @@
         self.running = 0
         self.completed = 0
         self.draining = False
-        self.down_until = 0.0
+        self.down_until = float('-inf')
         self.falls = 0
         self.most_running_cold = 0
         self.load_history: list[tuple[float, int]] = []
--- a/src/bilberryglade_stand_ins/target_service.py
+++ b/src/bilberryglade_stand_ins/target_service.py
@@ -141,9 +141,12 @@
             entry['state'] = 'cancelled'
             raise
         finally:
-            entry['ended_ns'] = time.monotonic_ns()
-            model.running -= 1
-            model.note_load()
+            self._end(entry)
+
+    def _end(self, entry: platform.JournalEntry) -> None:
+        entry['ended_ns'] = time.monotonic_ns()
+        self.model.running -= 1
+        self.model.note_load()
 
     async def _finish(
         self,
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -66,7 +66,8 @@
         },
     }
     code = fastjsonschema.compile_to_code(schema, use_default=False)
-    return MARK.format(name=source.stem) + code.rstrip() + '\n'
+    mark = MARK.format(name=source.stem)
+    return f'{mark}{code.rstrip()}\n'
 
 
 def generated_files() -> dict[str, str]:
