--- a/src/bilberryglade/_targets/phases.py
+++ b/src/bilberryglade/_targets/phases.py
@@ -81,4 +81,4 @@
     found = MACHINE.get_transitions(trigger.value, phase.value)
     if not found:
         return result.Err(RefusedTrigger(phase, trigger))
-    return result.Ok(Phase(found[0].dest))
+    return result.Ok(Phase(str(found[0].dest)))
