--- /dev/null
+++ b/src/bilberryglade/_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of organisations: rate, burst, and fair queues."""
