--- a/src/bilberryglade/_delivery/delivery.py
+++ b/src/bilberryglade/_delivery/delivery.py
@@ -9,7 +9,6 @@
 from bilberryglade._peers import network
 from bilberryglade._routing import roles
 from bilberryglade._state import state
-from bilberryglade._targets import client
 from bilberryglade._values import outcomes, requests
 from bilberryglade_schema import peer
 
@@ -61,13 +60,9 @@
             return outcomes.NotRun(outcomes.Reason.no_owner)
         if roles.leader_of_target(view, target.target) != self.instance:
             return outcomes.NotRun(outcomes.Reason.not_leader)
-        fence = self.granter.granted.get((target.target, request.slot), 0)
-        if not fence or not self.granter.has_authority:
+        if not self.granter.may_dispatch(target.target, request.slot):
             return outcomes.NotRun(outcomes.Reason.no_owner)
-        grant = client.GrantHeaders(request.slot, fence)
-        return await self.local.run(
-            dispatcher.Dispatch(request, target, grant),
-        )
+        return await self.local.run(dispatcher.Dispatch(request, target))
 
     def take_forward(self, message: peer.Forward) -> None:
         """Starts to run a request that a peer forwarded."""
--- /dev/null
+++ b/src/bilberryglade/_delivery/tests/test_dispatcher.py
@@ -0,0 +1,179 @@
+"""The queue in front of a target, over a target that the test answers."""
+
+import asyncio
+import time
+import unittest
+
+from bilberryglade._delivery import dispatcher
+from bilberryglade._state import state
+from bilberryglade._targets import client, condition
+from bilberryglade._values import outcomes, requests
+
+TARGET = state.TargetState(
+    target='ledger-0',
+    service='ledger',
+    failure_domain='north',
+    address='127.0.0.1:1',
+    concurrency=2,
+    fenced=True,
+    state='live',
+    changed_at=1,
+)
+
+
+class FakeTarget(client.TargetClient):
+    """Holds each request until the test lets it end."""
+
+    def __init__(self) -> None:
+        """Starts with nothing sent."""
+        self.sent: list[str] = []
+        self.gate = asyncio.Semaphore(0)
+        self.outcome: outcomes.Outcome = outcomes.Answered(200, (), b'')
+
+    async def run(
+        self,
+        address: str,
+        request: requests.RoutedRequest,
+        grant: client.GrantHeaders,
+        seconds: float,
+    ) -> outcomes.Outcome:
+        """Waits for the gate."""
+        self.sent.append(request.request_id)
+        await self.gate.acquire()
+        return self.outcome
+
+
+def request_of(
+    name: str,
+    organisation: str = 'minders',
+    seconds: float = 5,
+) -> requests.RoutedRequest:
+    """Returns a request that waits at most `seconds`."""
+    return requests.RoutedRequest(
+        request_id=name,
+        organisation=organisation,
+        service='ledger',
+        slot=7,
+        key='child',
+        method='GET',
+        path='/ledger/child',
+        headers=(),
+        body=b'',
+        deadline=time.monotonic() + seconds,
+        repeatable=True,
+        idempotency_digest='',
+    )
+
+
+class DispatcherTest(unittest.IsolatedAsyncioTestCase):
+    """Turns, limits and withdrawals."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts with one cold target and a valid grant."""
+        self.target = FakeTarget()
+        self.fence = 5
+        self.dispatcher = dispatcher.Dispatcher(
+            self.target,
+            lambda target, slot: self.fence,
+            queue_length=10,
+        )
+
+    def start(
+        self,
+        request: requests.RoutedRequest,
+    ) -> asyncio.Task[outcomes.Outcome]:
+        """Starts a dispatch."""
+        dispatch = dispatcher.Dispatch(request, TARGET)
+        return asyncio.create_task(self.dispatcher.run(dispatch))
+
+    async def settle(self) -> None:
+        """Lets the loop run what is ready."""
+        for _ in range(10):
+            await asyncio.sleep(0)
+
+    async def test_a_cold_target_gets_one_at_a_time(self) -> None:
+        """A second request waits for the first answer."""
+        first = self.start(request_of('first'))
+        second = self.start(request_of('second'))
+        await self.settle()
+        self.assertEqual(self.target.sent, ['first'])
+        self.target.gate.release()
+        await first
+        await self.settle()
+        self.assertEqual(self.target.sent, ['first', 'second'])
+        self.target.gate.release()
+        await second
+
+    async def test_lost_grant_is_seen_after_the_wait(self) -> None:
+        """The grant is asked for right before the send, not only at entry."""
+        first = self.start(request_of('first'))
+        second = self.start(request_of('second'))
+        await self.settle()
+        self.fence = 0
+        self.target.gate.release()
+        await first
+        self.assertEqual(
+            await second,
+            outcomes.NotRun(outcomes.Reason.no_owner),
+        )
+        self.assertEqual(self.target.sent, ['first'])
+
+    async def test_waiting_ends_at_the_deadline(self) -> None:
+        """A request that never gets its turn is told so, and leaves."""
+        first = self.start(request_of('first'))
+        late = self.start(request_of('late', seconds=0.02))
+        self.assertEqual(await late, outcomes.NotRun(outcomes.Reason.deadline))
+        self.target.gate.release()
+        await first
+        self.assertEqual(self.target.sent, ['first'])
+
+    async def test_cancelled_waiters_free_their_place(self) -> None:
+        """A caller that went away does not hold the queue up."""
+        first = self.start(request_of('first'))
+        gone = self.start(request_of('gone'))
+        last = self.start(request_of('last'))
+        await self.settle()
+        gone.cancel()
+        self.target.gate.release()
+        self.target.gate.release()
+        await asyncio.gather(first, last)
+        self.assertEqual(self.target.sent, ['first', 'last'])
+
+    async def test_a_small_organisation_does_not_wait_for_a_flood(self) -> None:
+        """A flood of one organisation leaves the next turn to another."""
+        tasks = [
+            self.start(request_of(f'flood-{number}')) for number in range(4)
+        ]
+        tasks.append(self.start(request_of('small', organisation='office')))
+        await self.settle()
+        for _ in tasks:
+            self.target.gate.release()
+        await asyncio.gather(*tasks)
+        self.assertIn('small', self.target.sent[:3])
+
+    async def test_draining_target_gets_nothing_new(self) -> None:
+        """What waits is refused as not run; what runs ends."""
+        first = self.start(request_of('first'))
+        waiting = self.start(request_of('waiting'))
+        await self.settle()
+        drained = TARGET._replace(state='draining')
+        view = state.ClusterState()
+        self.dispatcher.observe(
+            view._replace(targets=view.targets.set('ledger-0', drained)),
+        )
+        refused = outcomes.NotRun(outcomes.Reason.no_owner)
+        self.assertEqual(await waiting, refused)
+        self.assertEqual(await self.start(request_of('new')), refused)
+        self.target.gate.release()
+        self.assertIsInstance(await first, outcomes.Answered)
+
+    async def test_losses_make_a_target_suspect(self) -> None:
+        """A warm target that loses a request is back to one at a time."""
+        channel = dispatcher.Channel(2, self.dispatcher.bounds)
+        channel.condition = condition.Condition(2, allowance=2)
+        self.dispatcher.channels['ledger-0'] = channel
+        self.target.outcome = outcomes.Unknown(outcomes.Reason.answer_lost)
+        self.target.gate.release()
+        await self.start(request_of('lost'))
+        self.assertEqual(channel.condition.allowance, 1)
+        self.assertEqual(self.dispatcher.in_flight('ledger-0', 7), 0)
--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -84,14 +84,17 @@
             self.peers,
             config['timings'],
         )
+        self.dispatcher = dispatcher.Dispatcher(
+            self.targets,
+            self.granter.may_dispatch,
+            config['limits']['queue_length'],
+        )
+        self.reader.listeners.append(self.dispatcher.observe)
         self.delivery = delivery.Delivery(
             name,
             self.reader,
             self.granter,
-            dispatcher.Dispatcher(
-                self.targets,
-                config['limits']['queue_length'],
-            ),
+            self.dispatcher,
             self.peers,
         )
         self.duties = duties.Duties(
--- a/src/bilberryglade/_ownership/leases.py
+++ b/src/bilberryglade/_ownership/leases.py
@@ -57,6 +57,12 @@
         bound = self.timings['authority_ms'] / 1000
         return self.reader.age_seconds < bound
 
+    def may_dispatch(self, target: str, slot: int) -> int:
+        """Returns the fence under which a slot may be served, or 0."""
+        if not self.has_authority:
+            return 0
+        return self.granted.get((target, slot), 0)
+
     async def _grant(
         self,
         target: state.TargetState,
--- a/src/bilberryglade/_targets/condition.py
+++ b/src/bilberryglade/_targets/condition.py
@@ -106,7 +106,7 @@
 
     A target that has been idle for long may have turned cold unseen.
     """
-    if condition.phase in {phases.Phase.draining, phases.Phase.gone}:
+    if condition.phase in phases.CLOSED:
         return 0
     if now - condition.answered_at > IDLE_SECONDS:
         return 1
@@ -149,7 +149,7 @@
         return _moved(condition, phases.Trigger.drained)
     if event.state == 'gone':
         return _moved(condition, phases.Trigger.removed)
-    if condition.phase not in {phases.Phase.draining, phases.Phase.gone}:
+    if condition.phase not in phases.CLOSED:
         return condition
     return _back_to_one(condition, phases.Trigger.restored)
 
--- a/src/bilberryglade/_targets/phases.py
+++ b/src/bilberryglade/_targets/phases.py
@@ -22,6 +22,10 @@
     gone = 'gone'
 
 
+#: Phases in which a target gets no new work.
+CLOSED: typing.Final = frozenset((Phase.draining, Phase.gone))
+
+
 class Trigger(enum.StrEnum):
     """What moves a target from phase to phase."""
 
--- a/src/bilberryglade_lab/deployment.py
+++ b/src/bilberryglade_lab/deployment.py
@@ -162,6 +162,18 @@
         )
         return answer['offset']
 
+    async def set_target_faults(
+        self,
+        target: str,
+        faults: dict[str, typing.Any],
+    ) -> None:
+        """Replaces the faults in force at a stand-in target."""
+        port = self.targets[target].port
+        await self.http.put(
+            f'http://127.0.0.1:{port}/-/faults',
+            data=msgspec.json.encode(faults),
+        )
+
     async def journal(self, target: str) -> list[platform.JournalEntry]:
         """Returns what a stand-in target ran."""
         port = self.targets[target].port
