Frame of the fault matrix and observers of histories

Observers read journals of targets, callers' records and operators' acts, and nothing of the router.

--- /dev/null
+++ b/src/bilberryglade_lab/matrix/__init__.py
@@ -0,0 +1,1 @@
+"""The fault matrix: every fault at every declared step of a protocol."""
--- /dev/null
+++ b/src/bilberryglade_lab/observers/__init__.py
@@ -0,0 +1,1 @@
+"""Checkers of histories; they know nothing of the router's state."""
--- /dev/null
+++ b/src/bilberryglade_lab/observers/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the observers, on made-up histories."""
