--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -30,6 +30,8 @@
 from bilberryglade_schema import settings
 
 CONNECTIONS_PER_HOST: typing.Final = 130
+#: Shorter than servers usually keep idle connections.
+CONNECTION_IDLE_MS: typing.Final = 1000
 JOIN_SECONDS: typing.Final = 10.0
 REGISTERED: typing.Final = (
     ownership_folds,
@@ -54,7 +56,10 @@
         self.config = config
         self.boot = uuid.uuid4().hex
         name = config['instance']
-        pool = pools.PoolConfig(size=CONNECTIONS_PER_HOST)
+        pool = pools.PoolConfig(
+            size=CONNECTIONS_PER_HOST,
+            max_conn_idle_ms=CONNECTION_IDLE_MS,
+        )
         self.http = aiosonic.HTTPClient(
             connectors.TCPConnector(pool_configs={':default': pool}),
         )
--- a/src/bilberryglade_lab/demo.py
+++ b/src/bilberryglade_lab/demo.py
@@ -19,7 +19,7 @@
 LARGE_SHARE: typing.Final = 0.5
 SMALL_SHARE: typing.Final = 0.6
 SKEW: typing.Final = 0.8
-UNAUTHORISED_STATUS: typing.Final = 401
+TABLE_COLUMNS: typing.Final = 150
 
 
 class Phase(typing.NamedTuple):
@@ -188,7 +188,7 @@
 
     With `keep` the deployment stays up until the caller cancels.
     """
-    console = consoles.Console()
+    console = consoles.Console(width=TABLE_COLUMNS)
     running = deployment.Deployment(shape)
     try:
         await running.start()
--- a/src/bilberryglade_lab/deployment.py
+++ b/src/bilberryglade_lab/deployment.py
@@ -9,13 +9,14 @@
 import aiosonic
 import msgspec
 import zmq
-from aiosonic import exceptions, timeout
+from aiosonic import connectors, exceptions, pools, timeout
 
 from bilberryglade_lab import processes, shapes
 from bilberryglade_schema import platform, settings
 
 START_SECONDS: typing.Final = 20.0
 POLL_SECONDS: typing.Final = 0.05
+CONNECTION_IDLE_MS: typing.Final = 1000
 OK_STATUS: typing.Final = 200
 ADMIN_TOKEN: typing.Final = 'operators-token'
 
@@ -49,7 +50,15 @@
         ports = processes.free_ports(2)
         self.log_port = ports[0]
         self.list_port = ports[1]
-        self.http = aiosonic.HTTPClient()
+        self.http = aiosonic.HTTPClient(
+            connectors.TCPConnector(
+                pool_configs={
+                    ':default': pools.PoolConfig(
+                        max_conn_idle_ms=CONNECTION_IDLE_MS,
+                    ),
+                },
+            ),
+        )
         self.targets: dict[str, TargetPlace] = {}
         self.instances: dict[str, InstancePlace] = {}
         self.running: dict[str, processes.Process] = {}
--- a/src/bilberryglade_lab/traffic.py
+++ b/src/bilberryglade_lab/traffic.py
@@ -12,6 +12,7 @@
 from aiosonic import connectors, exceptions, pools, timeout
 
 CONNECTIONS: typing.Final = 400
+CONNECTION_IDLE_MS: typing.Final = 1000
 REQUEST_SECONDS: typing.Final = 6.0
 CONNECT_SECONDS: typing.Final = 0.5
 UNREACHED_STATUS: typing.Final = 0
@@ -86,7 +87,10 @@
         self.balancer = balancer
         self.secrets = secrets
         self.random = numpy.random.default_rng(seed)
-        pool = pools.PoolConfig(size=CONNECTIONS)
+        pool = pools.PoolConfig(
+            size=CONNECTIONS,
+            max_conn_idle_ms=CONNECTION_IDLE_MS,
+        )
         self.http = aiosonic.HTTPClient(
             connectors.TCPConnector(pool_configs={':default': pool}),
         )
