Targets: an answer is whole or it is none, and a request is sent once

Cause, each shown by a test against a raw server: the HTTP library - sends GET, PUT, DELETE and HEAD again when a kept connection drops; for GET it does so whatever the body, since it drops a GET's body; - takes an answer without framing, with headers cut short, or an interim one (1xx) for a whole answer with an empty body, and keeps its connection; - keeps a connection whose exchange was cancelled, so that the next request reads the answer of the one before; - unpacks a compressed body, while its header goes on to the caller; - lets EOFError and ValueError of cut answers through, which no caller of the client expected; and it drops what follows `;` in a path.

Now a connection class, given to the library, keeps a connection only after a framed answer was read whole, ends a header or chunk line only at a line break, and notes the first byte written: no byte written is `not run`, anything later is `unknown`. A second connection under one exchange raises. Requests that may not be repeated use new connections; a kept connection that fails puts the target's kept connections out of use until they are closed.

Ruled out: an iterator as body (does not hold for GET, and chunks every body); a hook before each sending (sees no reconnection of one object). Two tests take the protections out and see the second sending and the crossed answer.

--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -30,6 +30,7 @@
 from bilberryglade_schema import settings
 
 CONNECTIONS_PER_HOST: typing.Final = 130
+CONNECTIONS_TO_TARGETS: typing.Final = 1024
 JOIN_SECONDS: typing.Final = 10.0
 REGISTERED: typing.Final = (
     ownership_folds,
@@ -65,7 +66,12 @@
             config['timings']['log_wait_ms'],
         )
         self.writer = recorder.Recorder(self.log, self.reader)
-        self.targets = client.TargetClient(self.http)
+        self.targets = client.TargetClient(
+            client.Limits(
+                connections=CONNECTIONS_TO_TARGETS,
+                answer_bytes=config['limits']['body_bytes'],
+            ),
+        )
         self.granter = leases.Leases(
             name,
             self.reader,
@@ -130,6 +136,7 @@
             task.cancel()
         await asyncio.gather(*background, return_exceptions=True)
         self.peers.close()
+        await self.targets.close()
 
     async def _join(self) -> None:
         listen = self.config['listen']
--- /dev/null
+++ b/src/bilberryglade/_targets/answers.py
@@ -0,0 +1,83 @@
+"""Answers of targets: whole and framed, or not taken as answers."""
+
+import typing
+from contextlib import aclosing
+
+import aiosonic
+
+from bilberryglade._values import outcomes
+
+NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
+FINAL_STATUS: typing.Final = 200
+RUN_STATE: typing.Final = outcomes.Header('run-state', 'not-started')
+HOP_HEADERS: typing.Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'keep-alive',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'expect',
+        'host',
+        'date',
+        'server',
+        'proxy-connection',
+        'proxy-authorization',
+    ),
+)
+
+
+def is_framed(method: str, response: aiosonic.HttpResponse) -> bool:
+    """Tells whether the end of a final answer can be told from a cut.
+
+    An answer that ends when its connection closes looks whole wherever the
+    target died, and an interim answer (1xx) is not the request's own.
+    """
+    status = response.status_code
+    if status < FINAL_STATUS:
+        return False
+    if method == 'HEAD' or status in NO_BODY_STATUSES or response.chunked:
+        return True
+    lengths = {
+        text for name, text in raw_headers(response) if name == 'content-length'
+    }
+    return len(lengths) == 1
+
+
+async def read_body(
+    response: aiosonic.HttpResponse,
+    most_bytes: int,
+) -> bytes | None:
+    """Returns the body as sent, or None if it is longer than `most_bytes`."""
+    if not response._has_pending_body():  # noqa: WPS437
+        return b''
+    parts: list[bytes] = []
+    size = 0
+    async with aclosing(response.read_chunks()) as chunks:
+        async for chunk in chunks:
+            size += len(chunk)
+            if size > most_bytes:
+                return None
+            parts.append(chunk)
+    return b''.join(parts)
+
+
+def headers_of(response: aiosonic.HttpResponse) -> tuple[outcomes.Header, ...]:
+    """Returns every header that is not of the connection, copies included."""
+    return tuple(
+        outcomes.Header(name, text)
+        for name, text in raw_headers(response)
+        if name not in HOP_HEADERS
+    )
+
+
+def says_not_started(headers: tuple[outcomes.Header, ...]) -> bool:
+    """Tells whether the target refused before it started."""
+    return RUN_STATE in headers
+
+
+def raw_headers(response: aiosonic.HttpResponse) -> list[tuple[str, str]]:
+    """Returns names in lower case with their texts, in order."""
+    return [(name.lower(), text) for name, text in response.raw_headers]
--- a/src/bilberryglade/_targets/client.py
+++ b/src/bilberryglade/_targets/client.py
@@ -1,34 +1,34 @@
 """HTTP towards targets: one request, one attempt, one outcome."""
 
+import asyncio
+import time
 import typing
-from collections import abc
+from http import cookies
 
 import aiosonic
 from aiosonic import exceptions, timeout
 
 from bilberryglade._codec import codec
+from bilberryglade._targets import answers, connections
 from bilberryglade._values import outcomes, requests
 from bilberryglade_schema import platform
 
 CONNECT_SECONDS: typing.Final = 0.5
 GRANT_SECONDS: typing.Final = 0.5
 OK_STATUS: typing.Final = 200
-NOT_STARTED: typing.Final = 'not-started'
-RUN_STATE_HEADER: typing.Final = 'run-state'
-HOP_HEADERS: typing.Final = frozenset(
-    (
-        'connection',
-        'content-length',
-        'keep-alive',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        'host',
-        'date',
-        'server',
-    ),
+#: Time after which every kept connection to a silent target was closed.
+SILENT_SECONDS: typing.Final = 2 * connections.IDLE_MS / 1000
+#: What the library raises when an exchange comes to no whole answer.
+BROKEN_EXCHANGE: typing.Final = (
+    exceptions.AiosonicError,
+    OSError,
+    EOFError,
+    ValueError,
+    TimeoutError,
+    asyncio.LimitOverrunError,
+    cookies.CookieError,
 )
+HOP_HEADERS: typing.Final = answers.HOP_HEADERS
 
 
 class GrantHeaders(typing.NamedTuple):
@@ -38,12 +38,31 @@
     fence: int
 
 
+class Limits(typing.NamedTuple):
+    """Bounds on what the client holds."""
+
+    #: Connections to all targets together, of each class.
+    connections: int
+    #: The longest answer that is taken in, in bytes.
+    answer_bytes: int
+
+
 class TargetClient:
     """Sends requests and grants to targets."""
 
-    def __init__(self, http: aiosonic.HTTPClient) -> None:
-        """Talks through `http`."""
-        self.http = http
+    def __init__(self, limits: Limits) -> None:
+        """Opens connections as they are needed, within `limits`."""
+        self.limits = limits
+        self.kept = connections.http_client(
+            connections.TargetConnection,
+            limits.connections,
+        )
+        self.fresh = connections.http_client(
+            connections.FreshConnection,
+            limits.connections,
+        )
+        #: Monotonic seconds until which kept connections are distrusted.
+        self.silent_until: dict[str, float] = {}
 
     async def run(
         self,
@@ -54,36 +73,24 @@
     ) -> outcomes.Outcome:
         """Sends `request` once and returns what became of it.
 
-        The body goes as a stream, which the library never sends twice.
+        A request that may not be repeated goes over a new connection: one
+        that was kept may have gone silent, or be closed while it is written.
+        Others may use a kept connection for half of their time; where that
+        fails, the target's kept connections are not used until they have
+        been closed, so that another try takes a new one.
         """
-        limits = timeout.Timeouts(
-            sock_connect=CONNECT_SECONDS,
-            sock_read=seconds,
-            request_timeout=seconds,
-        )
-        try:
-            response = await self.http.request(
-                f'http://{address}{request.path}',
-                request.method,
-                headers=_headers(request, grant, seconds),
-                data=_single_use(request.body),
-                timeouts=limits,
+        now = time.monotonic()
+        distrusted = self.silent_until.get(address, now) > now
+        if distrusted or not request.repeatable:
+            return await self._attempt(
+                self.fresh, address, request, grant, seconds
             )
-            body = await response.content()
-        except (exceptions.ConnectTimeout, ConnectionRefusedError):
-            return outcomes.NotRun(outcomes.Reason.target_unreachable)
-        except (exceptions.AiosonicError, exceptions.BaseTimeout, OSError):
-            return outcomes.Unknown(outcomes.Reason.answer_lost)
-        headers = _answer_headers(response)
-        if headers.get(RUN_STATE_HEADER) == NOT_STARTED:
-            return outcomes.NotRun(outcomes.Reason.target_refused)
-        return outcomes.Answered(
-            status=response.status_code,
-            headers=tuple(
-                outcomes.Header(name, text) for name, text in headers.items()
-            ),
-            body=body,
+        outcome = await self._attempt(
+            self.kept, address, request, grant, seconds / 2
         )
+        if isinstance(outcome, outcomes.Unknown):
+            self.silent_until[address] = time.monotonic() + SILENT_SECONDS
+        return outcome
 
     async def grant(
         self,
@@ -97,7 +104,7 @@
             request_timeout=GRANT_SECONDS,
         )
         try:
-            response = await self.http.put(
+            response = await self.kept.put(
                 f'http://{address}/-/grants',
                 data=codec.encode_json(batch),
                 timeouts=limits,
@@ -107,10 +114,72 @@
             return False
         return bool(response.status_code == OK_STATUS)
 
+    async def close(self) -> None:
+        """Closes every connection."""
+        await self.kept.aclose()
+        await self.fresh.aclose()
+
+    async def _attempt(
+        self,
+        http: aiosonic.HTTPClient,
+        address: str,
+        request: requests.RoutedRequest,
+        grant: GrantHeaders,
+        seconds: float,
+    ) -> outcomes.Outcome:
+        deadline = time.monotonic() + seconds
+        exchange = connections.Exchange()
+        connections.current.set(exchange)
+        try:
+            response = await http.request(
+                _url(address, request.path),
+                # The library drops the body of a request named `GET`.
+                request.method.lower(),
+                headers=_headers(request, grant, seconds),
+                data=request.body,
+                timeouts=_timeouts(seconds),
+                stream=True,
+            )
+            return await self._outcome(request.method, response, deadline)
+        except BROKEN_EXCHANGE:
+            if exchange.is_sent:
+                return outcomes.Unknown(outcomes.Reason.answer_lost)
+            return outcomes.NotRun(outcomes.Reason.target_unreachable)
+        finally:
+            connections.current.set(None)
+
+    async def _outcome(
+        self,
+        method: str,
+        response: aiosonic.HttpResponse,
+        deadline: float,
+    ) -> outcomes.Outcome:
+        """Returns the answer if it is whole and within bounds."""
+        if not answers.is_framed(method, response):
+            await response.aclose()
+            return outcomes.Unknown(outcomes.Reason.answer_lost)
+        async with asyncio.timeout(deadline - time.monotonic()):
+            body = await answers.read_body(response, self.limits.answer_bytes)
+        if body is None:
+            return outcomes.Unknown(outcomes.Reason.too_large)
+        headers = answers.headers_of(response)
+        if answers.says_not_started(headers):
+            return outcomes.NotRun(outcomes.Reason.target_refused)
+        return outcomes.Answered(response.status_code, headers, body)
+
+
+def _timeouts(seconds: float) -> timeout.Timeouts:
+    return timeout.Timeouts(
+        sock_connect=min(CONNECT_SECONDS, seconds),
+        sock_read=seconds,
+        request_timeout=seconds,
+    )
 
-async def _single_use(body: bytes) -> abc.AsyncIterator[bytes]:
-    if body:
-        yield body
+
+def _url(address: str, path: str) -> str:
+    """Returns the URL; the library would drop parameters after `;`."""
+    plain, mark, query = path.partition('?')
+    return f'http://{address}{plain.replace(";", "%3B")}{mark}{query}'
 
 
 def _headers(
@@ -118,7 +187,13 @@
     grant: GrantHeaders,
     seconds: float,
 ) -> dict[str, str]:
-    headers = {header.name: header.text for header in request.headers}
+    headers: dict[str, str] = {}
+    for header in request.headers:
+        known = headers.get(header.name)
+        separator = '; ' if header.name == 'cookie' else ', '
+        headers[header.name] = (
+            header.text if known is None else f'{known}{separator}{header.text}'
+        )
     headers.update(
         {
             'request-id': request.request_id,
@@ -130,11 +205,3 @@
         },
     )
     return headers
-
-
-def _answer_headers(response: aiosonic.HttpResponse) -> dict[str, str]:
-    return {
-        name.lower(): text
-        for name, text in response.headers.items()
-        if name.lower() not in HOP_HEADERS
-    }
--- /dev/null
+++ b/src/bilberryglade/_targets/connections.py
@@ -0,0 +1,111 @@
+"""Connections to targets that are reused only after a whole answer."""
+
+import contextvars
+import typing
+from collections import abc
+from urllib import parse as urls
+
+import aiosonic
+from aiosonic import connection, connectors, exceptions, pools
+
+#: Idle time after which a kept connection is closed instead of used.
+IDLE_MS: typing.Final = 2000
+
+
+class SentTwiceError(exceptions.AiosonicError):  # type: ignore[misc]
+    """The library tried to send one request over a second connection."""
+
+
+class Exchange:
+    """What one attempt has put on the wire."""
+
+    def __init__(self) -> None:
+        """Starts with nothing sent."""
+        #: The stream that carries the request; None before the first byte.
+        self.writer: object = None
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether any byte of the request was handed to a socket."""
+        return self.writer is not None
+
+
+current: typing.Final[contextvars.ContextVar[Exchange | None]] = (
+    contextvars.ContextVar('current', default=None)
+)
+
+
+class TargetConnection(connection.Connection):  # type: ignore[misc]
+    """A connection that is kept only if its last answer was read whole.
+
+    The library also keeps connections whose exchange was cut short and
+    answers without framing; the next request would read their rest.
+    """
+
+    def reuse(self, urlparsed: urls.ParseResult, verify: bool) -> bool:
+        """Refuses a connection that was closed or holds unread bytes."""
+        if self.reader is None or self.reader.at_eof():
+            return False
+        if self.reader._buffer:  # noqa: WPS437
+            return False
+        return bool(super().reuse(urlparsed, verify))
+
+    def write(self, data: bytes) -> None:  # noqa: WPS110
+        """Writes for the current exchange, over one connection only."""
+        exchange = current.get()
+        if exchange is not None:
+            if exchange.is_sent and exchange.writer is not self.writer:
+                raise SentTwiceError
+            exchange.writer = self.writer
+        super().write(data)
+
+    async def readuntil(self, separator: bytes = b'\n') -> bytes:
+        """Reads the status line; header lines follow."""
+        self.reads_headers = True
+        return bytes(await super().readuntil(separator))
+
+    async def readline(self) -> bytes:
+        """Reads a whole line; the end of the stream is no line."""
+        line = bytes(await super().readline())
+        if not line.endswith(b'\n'):
+            raise exceptions.ConnectionDisconnected
+        if self.reads_headers and b':' not in line:
+            self.reads_headers = False
+            if line.strip():
+                raise exceptions.HttpParsingError('malformed header line')
+        return line
+
+    def release(self) -> None:
+        """Closes the connection unless a framed answer was read whole.
+
+        Only answers with a framed body hold their connection blocked.
+        """
+        if not self.blocked:
+            self.close()
+        super().release()
+
+
+class FreshConnection(TargetConnection):
+    """A connection that carries one exchange."""
+
+    def reuse(self, urlparsed: urls.ParseResult, verify: bool) -> bool:
+        """Never reuses."""
+        return False
+
+    def keep_alive(self) -> None:
+        """Closes after the answer, whatever the target offers."""
+        self.keep = False
+
+
+def http_client(
+    connection_class: abc.Callable[[pools.BasePool], connection.Connection],
+    size: int,
+) -> aiosonic.HTTPClient:
+    """Returns a client with at most `size` connections of one class."""
+    pool = pools.PoolConfig(size=size, max_conn_idle_ms=IDLE_MS)
+    return aiosonic.HTTPClient(
+        connectors.TCPConnector(
+            pool_configs={':default': pool},
+            connection_cls=connection_class,
+        ),
+    )
