--- /dev/null
+++ b/src/bilberryglade_lab/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on a virtual clock over the pure decisions."""
