--- a/src/bilberryglade/_commands/run.py
+++ b/src/bilberryglade/_commands/run.py
@@ -1,17 +1,14 @@
 """Command `run`: one entry instance."""
 
 import pathlib
-import sys
 import typing
 
 import cappa
 import result
 
-from bilberryglade._commands import commands
+from bilberryglade._commands import commands, output, statuses
 from bilberryglade._instance import composition, config
 
-USAGE_STATUS: typing.Final = 2
-
 
 @commands.commands.register('run')
 async def run(
@@ -23,8 +20,8 @@
     """Runs an entry instance until SIGTERM."""
     checked = config.read_settings(settings.read_bytes())
     if isinstance(checked, result.Err):
-        error = checked.err_value
-        sys.stderr.write(f'{settings}: {error.path}: {error.problem}\n')
-        return USAGE_STATUS
+        for error in checked.err_value:
+            output.write_error(f'{settings}: {config.line_of(error)}')
+        return statuses.ExitStatus.usage
     await composition.Node(checked.ok_value).run()
-    return 0
+    return statuses.ExitStatus.done
--- /dev/null
+++ b/src/bilberryglade/_instance/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of settings and of the composition."""
--- a/src/bilberryglade_schema/settings.py
+++ b/src/bilberryglade_schema/settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, TypeAlias
+from typing import Any, Literal, NotRequired, TypeAlias
 
 from typing_extensions import TypedDict
 
@@ -43,6 +43,7 @@
     log_wait_ms: int
     drift_permille: int
     request_limit_ms: int
+    stop_ms: NotRequired[int]
 
 
 class LimitSettings(TypedDict, closed=True):
@@ -53,6 +54,8 @@
     body_bytes: int
     queue_length: int
     peer_queue_length: int
+    header_bytes: NotRequired[int]
+    connections: NotRequired[int]
 
 
 class LogSettings(TypedDict, closed=True):
