Administration API and command line over one registry of operations

Operators could change the fleet only by appending records by hand. Each operation is now one registered function, behind the HTTP API and the command line; a change is answered after the fold has decided: accepted, rejected with the winner, or unclear with the record id to ask again.

A target that operators drain has the state 'drained', which the registrar leaves alone; with 'draining' the platform's list put it back at once.

--- a/src/bilberryglade/__main__.py
+++ b/src/bilberryglade/__main__.py
@@ -1,8 +1,8 @@
 """Runs the command line: `python -m bilberryglade`."""
 
-from bilberryglade._commands import commands, run
+from bilberryglade._commands import catalogue, commands
 
-REGISTERED = (run,)
+REGISTERED = (catalogue,)
 
 if __name__ == '__main__':
     commands.main()
--- /dev/null
+++ b/src/bilberryglade/_admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API: HTTP over the registered operations."""
--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -14,6 +14,7 @@
 from aiosonic import connectors, pools
 from starlette import applications
 
+from bilberryglade._admin import application as admin
 from bilberryglade._callers import application as callers
 from bilberryglade._delivery import delivery, dispatcher, peer_handlers
 from bilberryglade._instance import duties
@@ -23,6 +24,7 @@
     heartbeats,
     peer_handlers as membership_handlers,
 )
+from bilberryglade._operations import operations
 from bilberryglade._ownership import leases
 from bilberryglade._peers import network
 from bilberryglade._state import ownership_folds, rule_folds, topology_folds
@@ -31,6 +33,7 @@
 
 CONNECTIONS_PER_HOST: typing.Final = 130
 JOIN_SECONDS: typing.Final = 10.0
+ADMIN_STOP_SECONDS: typing.Final = 1
 REGISTERED: typing.Final = (
     ownership_folds,
     rule_folds,
@@ -105,8 +108,37 @@
             list_client.ListClient(platform['list_url'], self.http),
         )
         self.front = callers.CallerFront(self.reader, self.delivery, config)
+        self.admin_front = admin.AdminFront(
+            self.operations_context(),
+            admin.Probes(self.is_ready, scrape=bytes),
+        )
         self.rejected_messages = 0
 
+    def is_ready(self) -> bool:
+        """Tells whether callers may be sent here.
+
+        The record of the join was appended after the start and read back from
+        the fold, so everything before it has been folded too.
+        """
+        member = self.reader.view.members.get(self.config['instance'])
+        return member is not None and member.boot == self.boot
+
+    def log_case(self) -> str:
+        """Names the case that the log is in for this instance."""
+        return 'fresh' if self.granter.has_authority else 'not_fresh'
+
+    def operations_context(self) -> operations.Context:
+        """Returns the parts that operators' operations act on."""
+        return operations.Context(
+            config=self.config,
+            reader=self.reader,
+            writer=self.writer,
+            log=self.log,
+            heartbeats=self.heartbeats,
+            is_ready=self.is_ready,
+            log_case=self.log_case,
+        )
+
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT."""
         self.peers.open()
@@ -120,6 +152,12 @@
                 self._receive(),
             )
         ]
+        admin_server = _server(
+            admin.application(self.admin_front),
+            self.config['listen']['admin'],
+            ADMIN_STOP_SECONDS,
+        )
+        background.append(asyncio.create_task(admin_server.serve()))
         await self._join()
         server = _server(
             callers.application(self.front),
@@ -166,6 +204,7 @@
 def _server(
     application: applications.Starlette,
     address: str,
+    stop_seconds: int | None = None,
 ) -> uvicorn.Server:
     host, port = address.split(':')
     config = uvicorn.Config(
@@ -175,5 +214,6 @@
         log_level='error',
         access_log=False,
         lifespan='off',
+        timeout_graceful_shutdown=stop_seconds,
     )
     return _Server(config)
--- a/src/bilberryglade/_instance/duties.py
+++ b/src/bilberryglade/_instance/duties.py
@@ -79,7 +79,7 @@
             continue
         wanted = 'draining' if row['state'] == 'leaving' else 'live'
         known = view.targets.get(row['name'])
-        if known is not None and known.state == wanted:
+        if known is not None and known.state in {wanted, 'drained'}:
             continue
         changes.append(_target_record(row, wanted, known))
     return changes
--- /dev/null
+++ b/src/bilberryglade/_operations/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' operations, behind both the command line and the API."""
--- a/src/bilberryglade/_rules/reader.py
+++ b/src/bilberryglade/_rules/reader.py
@@ -62,6 +62,7 @@
     if '#' not in line:
         return rules.RuleError(
             number,
+            0,
             'the rule has no comment that names who asked for it',
             ALLOWED_FORMS,
         )
@@ -70,7 +71,8 @@
     found = rest or 'end of line'
     return rules.RuleError(
         number,
-        f'column {column}: unexpected {found!r}',
+        column,
+        f'unexpected {found!r}',
         ALLOWED_FORMS,
     )
 
@@ -88,12 +90,14 @@
         first = seen.setdefault(subject, line.line)
         if first != line.line:
             problem = f'repeats line {first}'
-            errors.append(rules.RuleError(line.line, problem, 'one rule each'))
+            errors.append(
+                rules.RuleError(line.line, 0, problem, 'one rule each')
+            )
         service = line.rule.service
         if service not in services:
             problem = f'service {service!r} has no service rule'
             allowed = ', '.join(sorted(services)) or 'none is declared'
-            errors.append(rules.RuleError(line.line, problem, allowed))
+            errors.append(rules.RuleError(line.line, 0, problem, allowed))
     return errors
 
 
--- a/src/bilberryglade/_rules/rules.py
+++ b/src/bilberryglade/_rules/rules.py
@@ -74,6 +74,8 @@
     """A line that is refused: where, what was wrong, what is allowed."""
 
     line: int
+    #: Column from 1, or 0 if the whole line is meant.
+    column: int
     problem: str
     allowed: str
 
--- a/src/bilberryglade_schema/records.py
+++ b/src/bilberryglade_schema/records.py
@@ -104,7 +104,7 @@
     address: str
     concurrency: int
     fenced: bool
-    state: Literal['live', 'draining', 'gone']
+    state: Literal['live', 'draining', 'drained', 'gone']
     based_on: Offset
 
 
