--- a/src/bilberryglade/_operations/commits.py
+++ b/src/bilberryglade/_operations/commits.py
@@ -7,16 +7,10 @@
 from bilberryglade._log import log_client
 from bilberryglade._operations import failures, operations
 from bilberryglade._state import folding, state
-from bilberryglade._values import steps
 from bilberryglade_schema import admin
 
 COMMIT_SECONDS: typing.Final = 5.0
 
-APPEND_OPERATION: typing.Final = steps.declare(
-    'operations.append',
-    steps.StepKind.append,
-)
-
 Committed: typing.TypeAlias = result.Result[admin.Committed, failures.Failure]
 
 
