Rules: columns and expected words in errors, contradictions by registry, examples

An error named the whole grammar and no place. Each now has line, column and what may stand there, from the parser's own expected terminals. Ruled out: a grammar over the whole file, which reports only its first error.

--- a/src/bilberryglade/_instance/tests/test_config.py
+++ b/src/bilberryglade/_instance/tests/test_config.py
@@ -1,6 +1,7 @@
 """Settings documents that are refused, and what is said of them."""
 
 import copy
+import pathlib
 import typing
 import unittest
 
@@ -110,3 +111,9 @@
         """A registered check says what it protects."""
         for entry in contradictions.contradictions.entries.values():
             self.assertTrue(entry.check.__doc__)
+
+    def test_example_is_valid(self) -> None:
+        """The example settings pass every check."""
+        root = pathlib.Path(__file__).resolve().parents[4]
+        raw = (root / 'examples' / 'instance.yaml').read_bytes()
+        self.assertTrue(config.read_settings(raw).is_ok())
--- a/src/bilberryglade/_rules/reader.py
+++ b/src/bilberryglade/_rules/reader.py
@@ -1,22 +1,35 @@
 """Reads the text of a rules file into a checked rule book."""
 
+import functools
+import typing
+
 import lark
 import result
 
-from bilberryglade._rules import grammar, kinds, rules
+from bilberryglade._rules import contradictions, grammar, kinds, rules, wording
+
+#: Lines kept parsed, so that a new revision costs only its changed lines.
+MAX_KEPT_LINES: typing.Final = 16_384
+
+Errors: typing.TypeAlias = tuple[rules.RuleError, ...]
+
+
+class _Parsed(typing.NamedTuple):
+    """A line without its number."""
+
+    rule: rules.Rule
+    asked_by: str
+
+
+class _Refused(typing.NamedTuple):
+    """A line that is no rule."""
 
-ALLOWED_FORMS = (
-    'service NAME path PATH key none|path N|header H|query Q '
-    '[isolation keep|yield], '
-    'allow ORGANISATION to SERVICE rate N/s burst N, '
-    'open SERVICE path PATH rate N/s burst N, '
-    'once SERVICE METHOD PATH; each followed by "# who asked for it"'
-)
+    column: int
+    problem: str
+    allowed: str
 
 
-def read_rules(
-    text: str,
-) -> result.Result[rules.RuleBook, tuple[rules.RuleError, ...]]:
+def read_rules(text: str) -> result.Result[rules.RuleBook, Errors]:
     """Parses and checks `text`.
 
     Blank lines and lines that hold only a comment are skipped. All errors of
@@ -27,89 +40,49 @@
     for number, line in enumerate(text.splitlines(), 1):
         if not line.strip() or line.lstrip().startswith('#'):
             continue
-        outcome = _read_line(number, line)
-        if isinstance(outcome, result.Ok):
-            lines.append(outcome.ok_value)
+        parsed = _parse(line)
+        if isinstance(parsed, _Refused):
+            errors.append(rules.RuleError(number, *parsed))
         else:
-            errors.append(outcome.err_value)
-    errors.extend(_contradictions(lines))
+            lines.append(rules.RuleLine(number, *parsed))
+    errors.extend(contradictions.find(lines))
     if errors:
         return result.Err(tuple(sorted(errors)))
     return result.Ok(_book(lines))
 
 
-def _read_line(
-    number: int,
-    line: str,
-) -> result.Result[rules.RuleLine, rules.RuleError]:
+@functools.lru_cache(maxsize=MAX_KEPT_LINES)
+def _parse(line: str) -> _Parsed | _Refused:
     try:
         tree = grammar.LINE_PARSER.parse(line)
     except lark.UnexpectedInput as error:
-        return result.Err(_syntax_error(number, line, error))
+        return _refusal(line, error)
     parts = grammar.parts_of(tree)
     make = kinds.rule_kinds.entries[parts.kind]
-    asked_by = parts.comment.lstrip('# ')
-    return result.Ok(
-        rules.RuleLine(number, make(parts.tokens), asked_by),
-    )
-
-
-def _syntax_error(
-    number: int,
-    line: str,
-    error: lark.UnexpectedInput,
-) -> rules.RuleError:
-    if '#' not in line:
-        return rules.RuleError(
-            number,
-            0,
-            'the rule has no comment that names who asked for it',
-            ALLOWED_FORMS,
-        )
-    column = max(getattr(error, 'column', 1), 1)
-    rest = line[column - 1 :].partition('#')[0].strip()
-    found = rest or 'end of line'
-    return rules.RuleError(
-        number,
-        column,
-        f'unexpected {found!r}',
-        ALLOWED_FORMS,
-    )
-
-
-def _contradictions(lines: list[rules.RuleLine]) -> list[rules.RuleError]:
-    services = {
-        line.rule.service
-        for line in lines
-        if isinstance(line.rule, rules.ServiceRule)
-    }
-    seen: dict[tuple[str, ...], int] = {}
-    errors: list[rules.RuleError] = []
-    for line in lines:
-        subject = _subject(line.rule)
-        first = seen.setdefault(subject, line.line)
-        if first != line.line:
-            problem = f'repeats line {first}'
-            errors.append(
-                rules.RuleError(line.line, 0, problem, 'one rule each')
-            )
-        service = line.rule.service
-        if service not in services:
-            problem = f'service {service!r} has no service rule'
-            allowed = ', '.join(sorted(services)) or 'none is declared'
-            errors.append(rules.RuleError(line.line, 0, problem, allowed))
-    return errors
-
-
-def _subject(rule: rules.Rule) -> tuple[str, ...]:
-    kind = type(rule).__name__
-    if isinstance(rule, rules.ServiceRule):
-        return kind, rule.service
-    if isinstance(rule, rules.AllowRule):
-        return kind, rule.organisation, rule.service
-    if isinstance(rule, rules.OpenRule):
-        return kind, rule.service, rule.prefix
-    return kind, rule.service, rule.method, rule.prefix
+    return _Parsed(make(parts.tokens), parts.comment.lstrip('# '))
+
+
+def _refusal(line: str, error: lark.UnexpectedInput) -> _Refused:
+    column = _column(line, error)
+    terminals = wording.expected_of(error)
+    allowed = wording.allowed_words(terminals)
+    rest = line[column - 1 :].partition('#')[0].split()
+    if rest:
+        return _Refused(column, f'unexpected {rest[0]!r}', allowed)
+    if 'COMMENT' in terminals:
+        problem = 'no comment names who asked for the rule'
+        return _Refused(column, problem, allowed)
+    return _Refused(column, 'the rule ends too early', allowed)
+
+
+def _column(line: str, error: lark.UnexpectedInput) -> int:
+    column = int(getattr(error, 'column', 0))
+    if column < 1 or isinstance(error, lark.UnexpectedEOF):
+        return len(line) + 1
+    token = getattr(error, 'token', None)
+    if token is not None and token.type == '$END':  # noqa: S105
+        return len(line.rstrip()) + 1
+    return column
 
 
 def _book(lines: list[rules.RuleLine]) -> rules.RuleBook:
--- /dev/null
+++ b/src/bilberryglade/_rules/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the rules file."""
