--- a/src/bilberryglade/_callers/application.py
+++ b/src/bilberryglade/_callers/application.py
@@ -7,13 +7,13 @@
 import result
 from starlette import applications, requests, responses, routing
 
-from bilberryglade._callers import credentials, problems
+from bilberryglade._callers import credentials, observing, problems
 from bilberryglade._delivery import delivery
 from bilberryglade._log import follower
 from bilberryglade._routing import matching, slots
 from bilberryglade._state import state
 from bilberryglade._targets import client
-from bilberryglade._values import outcomes, requests as routed
+from bilberryglade._values import exchanges, outcomes, requests as routed
 from bilberryglade_schema import settings
 
 METHODS: typing.Final = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
@@ -46,6 +46,7 @@
         api_key = credentials.find_key(self.reader.view, secret)
         if api_key is None:
             return _refuse(outcomes.Reason.no_credentials)
+        observing.note(request, api_key.organisation)
         line = matching.RequestLine(
             request.method,
             request.url.path,
@@ -59,6 +60,7 @@
         )
         if isinstance(route, result.Err):
             return _refuse(route.err_value)
+        observing.note(request, api_key.organisation, route.ok_value)
         body = await self._body(request)
         if body is None:
             return _refuse(outcomes.Reason.too_large)
@@ -118,9 +120,13 @@
     return slots.slot_of(route.key) if hot is None else hot
 
 
-def application(front: CallerFront) -> applications.Starlette:
-    """Returns the HTTP application of `front`."""
-    route = routing.Route('/{path:path}', front.serve, methods=list(METHODS))
+def application(
+    front: CallerFront,
+    observe: exchanges.Observer,
+) -> applications.Starlette:
+    """Returns the HTTP application of `front`; `observe` sees exchanges."""
+    serve = observing.observed(front.serve, observe)
+    route = routing.Route('/{path:path}', serve, methods=list(METHODS))
     return applications.Starlette(routes=[route])
 
 
--- a/src/bilberryglade/_callers/problems.py
+++ b/src/bilberryglade/_callers/problems.py
@@ -38,9 +38,13 @@
     run_state: str
 
 
-def refusal(
-    outcome: outcomes.NotRun | outcomes.Unknown,
-) -> responses.Response:
+class Refusal(responses.Response):
+    """A problem document, with the outcome that it tells of."""
+
+    outcome: outcomes.NotRun | outcomes.Unknown
+
+
+def refusal(outcome: outcomes.NotRun | outcomes.Unknown) -> Refusal:
     """Returns the response that tells a caller of `outcome`."""
     is_not_run = isinstance(outcome, outcomes.NotRun)
     status = UNKNOWN_STATUS
@@ -56,9 +60,11 @@
     if isinstance(outcome, outcomes.NotRun) and outcome.retry_after_ms:
         seconds = -(-outcome.retry_after_ms // MILLISECONDS)
         headers['retry-after'] = str(seconds)
-    return responses.Response(
+    response = Refusal(
         codec.encode_json(problem),
         status_code=status,
         headers=headers,
         media_type=MEDIA_TYPE,
     )
+    response.outcome = outcome
+    return response
--- /dev/null
+++ b/src/bilberryglade/_observability/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics and log lines."""
--- /dev/null
+++ b/src/bilberryglade/_observability/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of metrics and log lines."""
