Planned stop, bounds on connections, and a join that is tried until it holds

The listener opens only once the instance has joined: before, a caller that came early was told 401 for a good key, and a join that failed for 10 s was never tried again. A request must arrive whole within the request limit, and its headers within a bound that the HTTP library lacks.

--- a/src/bilberryglade/_commands/run.py
+++ b/src/bilberryglade/_commands/run.py
@@ -8,6 +8,7 @@
 
 from bilberryglade._commands import commands, output, statuses
 from bilberryglade._instance import composition, config
+from bilberryglade._observability import lines
 
 
 @commands.commands.register('run')
@@ -23,5 +24,6 @@
         for error in checked.err_value:
             output.write_error(f'{settings}: {config.line_of(error)}')
         return statuses.ExitStatus.usage
+    lines.configure(checked.ok_value['logs'])
     await composition.Node(checked.ok_value).run()
     return statuses.ExitStatus.done
--- a/src/bilberryglade/_delivery/dispatcher.py
+++ b/src/bilberryglade/_delivery/dispatcher.py
@@ -138,6 +138,17 @@
             return 0
         return sum(1 for running in channel.running.values() if running == slot)
 
+    def waiting_count(self) -> int:
+        """Returns how many requests wait in front of all led targets."""
+        return sum(len(channel.waiting) for channel in self.channels.values())
+
+    def is_idle(self) -> bool:
+        """Tells whether no request waits or runs."""
+        return not any(
+            channel.waiting or channel.running
+            for channel in self.channels.values()
+        )
+
     def _channel(self, target: state.TargetState) -> Channel:
         channel = self.channels.get(target.target)
         if channel is None:
--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -1,33 +1,33 @@
 """The composition root: wires the parts of one entry instance."""
 
 import asyncio
-import contextlib
-import signal
 import typing
 import uuid
-from collections import abc
 
 import aiosonic
-import loguru
 import result
-import uvicorn
 from aiosonic import connectors, pools
-from starlette import applications
 
 from bilberryglade._admin import application as admin
 from bilberryglade._callers import application as callers
 from bilberryglade._delivery import delivery, dispatcher, peer_handlers
-from bilberryglade._instance import duties
+from bilberryglade._instance import duties, observation, serving, stopping
 from bilberryglade._listing import list_client
 from bilberryglade._log import follower, log_client, recorder
 from bilberryglade._membership import (
     heartbeats,
     peer_handlers as membership_handlers,
 )
+from bilberryglade._observability import readings
 from bilberryglade._operations import operations
 from bilberryglade._ownership import leases
 from bilberryglade._peers import network
-from bilberryglade._state import ownership_folds, rule_folds, topology_folds
+from bilberryglade._state import (
+    folding,
+    ownership_folds,
+    rule_folds,
+    topology_folds,
+)
 from bilberryglade._targets import client
 from bilberryglade_schema import settings
 
@@ -37,6 +37,8 @@
 CONNECTIONS_TO_TARGETS: typing.Final = 1024
 JOIN_SECONDS: typing.Final = 10.0
 ADMIN_STOP_SECONDS: typing.Final = 1
+#: A peer that hears nothing declares this instance lost.
+LEAVE_SECONDS: typing.Final = 1.0
 REGISTERED: typing.Final = (
     ownership_folds,
     rule_folds,
@@ -46,12 +48,6 @@
 )
 
 
-class _Server(uvicorn.Server):
-    @contextlib.contextmanager
-    def capture_signals(self) -> abc.Iterator[None]:
-        yield
-
-
 class Node:
     """All parts of one entry instance."""
 
@@ -118,12 +114,22 @@
             self.writer,
             list_client.ListClient(platform['list_url'], self.http),
         )
+        self.stopper = stopping.Stopper()
+        self.observation = observation.Observation(
+            readings.Parts(
+                name,
+                self.reader,
+                self.dispatcher,
+                self.peers,
+                self.is_ready,
+                self.log_case,
+            ),
+        )
         self.front = callers.CallerFront(self.reader, self.delivery, config)
         self.admin_front = admin.AdminFront(
             self.operations_context(),
-            admin.Probes(self.is_ready, scrape=bytes),
+            admin.Probes(self.is_ready, self.observation.metrics.scrape),
         )
-        self.rejected_messages = 0
 
     def is_ready(self) -> bool:
         """Tells whether callers may be sent here.
@@ -131,6 +137,8 @@
         The record of the join was appended after the start and read back from
         the fold, so everything before it has been folded too.
         """
+        if self.stopper.is_requested:
+            return False
         member = self.reader.view.members.get(self.config['instance'])
         return member is not None and member.boot == self.boot
 
@@ -151,8 +159,15 @@
         )
 
     async def run(self) -> None:
-        """Runs until SIGTERM or SIGINT."""
+        """Runs until SIGTERM or SIGINT, then stops as planned."""
+        self.stopper.install()
         self.peers.open()
+        bounds = serving.bounds_of(self.config)
+        admin_server = serving.server_for(
+            admin.application(self.admin_front),
+            self.config['listen']['admin'],
+            bounds._replace(stop_seconds=ADMIN_STOP_SECONDS),
+        )
         background = [
             asyncio.create_task(loop)
             for loop in (
@@ -160,72 +175,71 @@
                 self.granter.renew(),
                 self.duties.perform(),
                 self.heartbeats.beat(),
+                self.observation.watch(),
                 self._receive(),
+                self._join(),
+                admin_server.serve(),
             )
         ]
-        admin_server = _server(
-            admin.application(self.admin_front),
-            self.config['listen']['admin'],
-            ADMIN_STOP_SECONDS,
-        )
-        background.append(asyncio.create_task(admin_server.serve()))
-        await self._join()
-        server = _server(
-            callers.application(self.front),
-            self.config['listen']['callers'],
-        )
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, _stop, server)
-        await server.serve()
+        await self._serve_callers(bounds)
+        await self._leave(bounds.stop_seconds)
+        admin_server.should_exit = True
         for task in background:
             task.cancel()
         await asyncio.gather(*background, return_exceptions=True)
         self.peers.close()
         await self.targets.close()
 
+    async def _serve_callers(self, bounds: serving.Bounds) -> None:
+        application = callers.application(
+            self.front,
+            self.observation.meter.take,
+        )
+        server = serving.server_for(
+            serving.closing(application, lambda: self.stopper.is_requested),
+            self.config['listen']['callers'],
+            bounds,
+        )
+        await stopping.wait_until(self._may_listen, float('inf'))
+        serve = asyncio.create_task(server.serve())
+        await self.stopper.requested.wait()
+        await asyncio.sleep(serving.notice_seconds(self.config))
+        server.should_exit = True
+        await serve
+
+    def _may_listen(self) -> bool:
+        return self.is_ready() or self.stopper.is_requested
+
     async def _join(self) -> None:
         listen = self.config['listen']
-        joined = await self.writer.commit(
-            {
-                'id': recorder.new_record_id(),
-                'kind': 'instance_joined',
-                'instance': self.config['instance'],
-                'boot': self.boot,
-                'failure_domain': self.config['failure_domain'],
-                'peer_address': listen['peers'],
-                'admin_address': listen['admin'],
-            },
-            JOIN_SECONDS,
-        )
-        loguru.logger.info('joined: {}', joined)
+        record: folding.Record = {
+            'id': recorder.new_record_id(),
+            'kind': 'instance_joined',
+            'instance': self.config['instance'],
+            'boot': self.boot,
+            'failure_domain': self.config['failure_domain'],
+            'peer_address': listen['peers'],
+            'admin_address': listen['admin'],
+        }
+        while not self.stopper.is_requested:
+            joined = await self.writer.commit(record, JOIN_SECONDS)
+            if isinstance(joined, result.Ok):
+                return
+
+    async def _leave(self, seconds: int) -> None:
+        """Gives up every role, then lets forwarded requests end."""
+        member = self.reader.view.members.get(self.config['instance'])
+        if member is not None and member.boot == self.boot:
+            record = stopping.leave_record(member)
+            await self.writer.commit(record, LEAVE_SECONDS)
+        await stopping.wait_until(self.dispatcher.is_idle, seconds)
 
     async def _receive(self) -> None:
         while True:
             received = await self.peers.receive()
             if isinstance(received, result.Err):
-                self.rejected_messages += 1
+                self.observation.take_rejected(received.err_value.cause)
                 continue
-            received.ok_value.handler.handle(self, received.ok_value.message)
-
-
-def _stop(server: uvicorn.Server) -> None:
-    server.should_exit = True
-
-
-def _server(
-    application: applications.Starlette,
-    address: str,
-    stop_seconds: int | None = None,
-) -> uvicorn.Server:
-    host, port = address.split(':')
-    config = uvicorn.Config(
-        application,
-        host=host,
-        port=int(port),
-        log_level='error',
-        access_log=False,
-        lifespan='off',
-        timeout_graceful_shutdown=stop_seconds,
-    )
-    return _Server(config)
+            message = received.ok_value.message
+            self.observation.take_message(message['kind'])
+            received.ok_value.handler.handle(self, message)
--- a/src/bilberryglade/_instance/samples.py
+++ b/src/bilberryglade/_instance/samples.py
@@ -34,6 +34,7 @@
         'drift_permille': 10,
         'request_limit_ms': 5000,
         'stop_ms': 5000,
+        'notice_ms': 500,
     },
     'limits': {
         'body_bytes': 1_048_576,
--- /dev/null
+++ b/src/bilberryglade/_instance/serving.py
@@ -0,0 +1,187 @@
+"""HTTP servers within bounds: headers, connections, time of arrival."""
+
+import asyncio
+import contextlib
+import functools
+import typing
+from collections import abc
+
+import uvicorn
+from uvicorn.protocols.http import httptools_impl
+
+from bilberryglade_schema import settings
+
+MILLISECONDS: typing.Final = 1000
+DEFAULT_NOTICE_MS: typing.Final = 500
+CLOSE_HEADER: typing.Final = (b'connection', b'close')
+DEFAULT_HEADER_BYTES: typing.Final = 65_536
+DEFAULT_CONNECTIONS: typing.Final = 4096
+TOO_LARGE_HEAD: typing.Final = (
+    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
+    b'content-length: 0\r\nconnection: close\r\n\r\n'
+)
+
+
+Scope: typing.TypeAlias = typing.Any
+Message: typing.TypeAlias = abc.MutableMapping[str, typing.Any]
+Receive: typing.TypeAlias = abc.Callable[[], abc.Awaitable[Message]]
+Send: typing.TypeAlias = abc.Callable[[Message], abc.Awaitable[None]]
+Application: typing.TypeAlias = abc.Callable[
+    [Scope, Receive, Send],
+    abc.Awaitable[None],
+]
+
+
+class Bounds(typing.NamedTuple):
+    """What a server takes from one connection, and from how many."""
+
+    #: Bytes of a request line and its headers together.
+    header_bytes: int
+    connections: int
+    #: Seconds within which a whole request must arrive.
+    arrival_seconds: float
+    #: Seconds that requests in flight may take after a planned stop.
+    stop_seconds: int
+
+
+class BoundedProtocol(httptools_impl.HttpToolsProtocol):
+    """One connection, which is closed once it goes beyond its bounds."""
+
+    def __init__(
+        self,
+        *args: typing.Any,
+        bounds: Bounds,
+        **named: typing.Any,
+    ) -> None:
+        """Takes the arguments of the base class, and the bounds."""
+        super().__init__(*args, **named)
+        self.bounds = bounds
+        self.in_head = True
+        self.head_bytes = 0
+        self.arrival: asyncio.TimerHandle | None = None
+
+    def connection_made(  # type: ignore[override]
+        self,
+        transport: asyncio.Transport,
+    ) -> None:
+        """Begins to wait for a request."""
+        super().connection_made(transport)
+        self._wait_for_arrival()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends the wait."""
+        self._end_wait()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110
+        """Counts bytes until the headers are complete."""
+        if self.in_head:
+            self.head_bytes += len(data)
+        super().data_received(data)
+        if self.in_head and self.head_bytes > self.bounds.header_bytes:
+            if not self.transport.is_closing():
+                self.transport.write(TOO_LARGE_HEAD)
+                self.transport.close()
+
+    def on_message_begin(self) -> None:
+        """Notes that the headers of a request begin."""
+        self.in_head = True
+        if self.arrival is None:
+            self._wait_for_arrival()
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        """Notes that the headers are over."""
+        self.in_head = False
+        self.head_bytes = 0
+        super().on_headers_complete()
+
+    def on_message_complete(self) -> None:
+        """Notes that the whole request has arrived."""
+        self._end_wait()
+        super().on_message_complete()
+
+    def _wait_for_arrival(self) -> None:
+        self.arrival = self.loop.call_later(
+            self.bounds.arrival_seconds,
+            self._close_late,
+        )
+
+    def _end_wait(self) -> None:
+        if self.arrival is not None:
+            self.arrival.cancel()
+            self.arrival = None
+
+    def _close_late(self) -> None:
+        self.arrival = None
+        self.transport.close()
+
+
+class Server(uvicorn.Server):
+    """A server that leaves signals to the instance."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> abc.Iterator[None]:
+        """Captures nothing."""
+        yield
+
+
+def closing(
+    application: Application,
+    is_stopping: abc.Callable[[], bool],
+) -> Application:
+    """Returns `application`, which ends connections during a planned stop."""
+
+    async def serve(scope: Scope, receive: Receive, send: Send) -> None:  # noqa: WPS430
+        async def send_closing(message: Message) -> None:  # noqa: WPS430
+            if message['type'] == 'http.response.start' and is_stopping():
+                headers = [*message.get('headers', ()), CLOSE_HEADER]
+                message = {**message, 'headers': headers}
+            await send(message)
+
+        await application(scope, receive, send_closing)
+
+    return serve
+
+
+def notice_seconds(config: settings.InstanceSettings) -> float:
+    """Returns how long callers are still served after readiness went off."""
+    notice_ms = config['timings'].get('notice_ms', DEFAULT_NOTICE_MS)
+    return notice_ms / MILLISECONDS
+
+
+def bounds_of(config: settings.InstanceSettings) -> Bounds:
+    """Returns the bounds that the settings give."""
+    limits = config['limits']
+    timings = config['timings']
+    request_ms = timings['request_limit_ms']
+    stop_ms = timings.get('stop_ms', request_ms)
+    return Bounds(
+        header_bytes=limits.get('header_bytes', DEFAULT_HEADER_BYTES),
+        connections=limits.get('connections', DEFAULT_CONNECTIONS),
+        arrival_seconds=request_ms / MILLISECONDS,
+        stop_seconds=-(-stop_ms // MILLISECONDS),
+    )
+
+
+def server_for(
+    application: Application,
+    address: str,
+    bounds: Bounds,
+) -> Server:
+    """Returns a server for `application` at an IP number and port."""
+    host, _, port = address.rpartition(':')
+    protocol: typing.Any = functools.partial(BoundedProtocol, bounds=bounds)
+    config = uvicorn.Config(
+        application,
+        host=host,
+        port=int(port),
+        http=protocol,
+        ws='none',
+        log_level='critical',
+        access_log=False,
+        lifespan='off',
+        limit_concurrency=bounds.connections,
+        timeout_graceful_shutdown=bounds.stop_seconds,
+    )
+    return Server(config)
--- a/src/bilberryglade_schema/settings.py
+++ b/src/bilberryglade_schema/settings.py
@@ -44,6 +44,7 @@
     drift_permille: int
     request_limit_ms: int
     stop_ms: NotRequired[int]
+    notice_ms: NotRequired[int]
 
 
 class LimitSettings(TypedDict, closed=True):
