Planned stop: a connection without a request gets a moment for it

The server closed connections that had been accepted and whose first request was on its way: 3 of 132 requests were cut off by a test that went on calling without regard to readiness. Such a connection now gets 0.2 s. The test calls as a balancer does, until it has seen the readiness go off; a connection that the kernel has taken and the process has not is reset when the listener closes, which only the notice before it protects from.

--- a/src/bilberryglade/_instance/serving.py
+++ b/src/bilberryglade/_instance/serving.py
@@ -13,6 +13,7 @@
 
 MILLISECONDS: typing.Final = 1000
 DEFAULT_NOTICE_MS: typing.Final = 500
+ARRIVAL_GRACE_SECONDS: typing.Final = 0.2
 CLOSE_HEADER: typing.Final = (b'connection', b'close')
 DEFAULT_HEADER_BYTES: typing.Final = 65_536
 DEFAULT_CONNECTIONS: typing.Final = 4096
@@ -57,6 +58,8 @@
         super().__init__(*args, **named)
         self.bounds = bounds
         self.in_head = True
+        #: Whether a request has begun to arrive.
+        self.has_begun = False
         self.head_bytes = 0
         self.arrival: asyncio.TimerHandle | None = None
 
@@ -86,6 +89,7 @@
     def on_message_begin(self) -> None:
         """Notes that the headers of a request begin."""
         self.in_head = True
+        self.has_begun = True
         if self.arrival is None:
             self._wait_for_arrival()
         super().on_message_begin()
@@ -101,6 +105,20 @@
         self._end_wait()
         super().on_message_complete()
 
+    def shutdown(self) -> None:
+        """Ends the connection, but not under a request on its way.
+
+        A connection that has had no request yet gets a moment for it.
+        """
+        if self.has_begun:
+            super().shutdown()
+            return
+        self.loop.call_later(ARRIVAL_GRACE_SECONDS, self._end_unused)
+
+    def _end_unused(self) -> None:
+        if not self.has_begun:
+            self.transport.close()
+
     def _wait_for_arrival(self) -> None:
         self.arrival = self.loop.call_later(
             self.bounds.arrival_seconds,
