--- a/src/bilberryglade/_instance/serving.py
+++ b/src/bilberryglade/_instance/serving.py
@@ -58,7 +58,7 @@
         super().__init__(*args, **named)
         self.bounds = bounds
         self.in_head = True
-        #: Whether a request has begun to arrive.
+        #: Whether the headers of a request have arrived.
         self.has_begun = False
         self.head_bytes = 0
         self.arrival: asyncio.TimerHandle | None = None
@@ -89,7 +89,6 @@
     def on_message_begin(self) -> None:
         """Notes that the headers of a request begin."""
         self.in_head = True
-        self.has_begun = True
         if self.arrival is None:
             self._wait_for_arrival()
         super().on_message_begin()
@@ -97,6 +96,7 @@
     def on_headers_complete(self) -> None:
         """Notes that the headers are over."""
         self.in_head = False
+        self.has_begun = True
         self.head_bytes = 0
         super().on_headers_complete()
 
