Outcomes: one retry decision, and forwards that run only while wanted

A forward that waited in a socket could run after its sender had given up and said "not run", and a copy of it ran twice. Now the leader accepts a forward first; a request that may not be repeated runs only on the sender's `proceed`, which the sender gives while its caller still waits. Until then silence is a true `not run`, after it `unknown`. Copies are ignored, a replaced leader ends the wait, a caller that goes away ends work that may be repeated.

Ruled out: dropping by the remaining time in the message (clocks are not shared, so a delay in the socket is invisible); short timeouts on sending (a connected socket still delivers late); sequence numbers for each pair of instances (a restart loses them). The cost is one more pair of messages for requests that may not be repeated; others run at once.

`retry.decide` alone says whether an attempt follows: only for not run, or for unknown where the request may be repeated; in time; within a budget of a tenth of the requests; waiting for a moving owner costs no budget. Requests without key go to another target. Each attempt has an id of its own.

--- a/src/bilberryglade/_delivery/delivery.py
+++ b/src/bilberryglade/_delivery/delivery.py
@@ -3,14 +3,13 @@
 import asyncio
 import time
 
-from bilberryglade._delivery import dispatcher, messages
+from bilberryglade._delivery import dispatcher, forwards, retry
 from bilberryglade._log import follower
 from bilberryglade._ownership import leases
 from bilberryglade._peers import network
-from bilberryglade._routing import roles
+from bilberryglade._routing import elsewhere, roles
 from bilberryglade._state import state
 from bilberryglade._values import outcomes, requests
-from bilberryglade_schema import peer
 
 
 class Delivery:
@@ -29,25 +28,40 @@
         self.reader = reader
         self.granter = granter
         self.local = local
-        self.peers = peers
-        self.pending: dict[str, asyncio.Future[outcomes.Outcome]] = {}
-        self.running: set[asyncio.Task[None]] = set()
+        self.forwards = forwards.Forwards(
+            instance, reader, peers, self.dispatch
+        )
+        self.budget = retry.Budget()
+        #: Work that goes on when its caller has gone.
+        self.once: set[asyncio.Task[outcomes.Outcome]] = set()
 
     async def deliver(
         self,
         request: requests.RoutedRequest,
     ) -> outcomes.Outcome:
-        """Runs `request` at the owner of its slot, here or through a peer."""
-        target = owner_of(self.reader.view, request)
-        if target is None:
-            return outcomes.NotRun(outcomes.Reason.no_owner)
-        leader = roles.leader_of_target(self.reader.view, target.target)
-        if leader == self.instance:
-            return await self.dispatch(request)
-        member = self.reader.view.members.get(leader)
-        if member is None:
-            return outcomes.NotRun(outcomes.Reason.not_leader)
-        return await self._forward(request, target.target, member.peer_address)
+        """Runs `request`, again where that is allowed, until it is decided.
+
+        A cancellation ends requests that may be repeated, and no others.
+        """
+        self.budget = retry.earn(self.budget)
+        attempt = request._replace(slot=elsewhere.home_slot(request))
+        tried: list[str] = []
+        while True:
+            target = owner_of(self.reader.view, attempt)
+            outcome = await self._try(attempt, target)
+            if isinstance(outcome, outcomes.Answered):
+                return outcome
+            tried.append(target.target if target else '')
+            slot = elsewhere.slot_elsewhere(self.reader.view, attempt, tried)
+            decision = self._decide(attempt, outcome, slot, len(tried))
+            if isinstance(decision, retry.Answer):
+                return decision.outcome
+            self.budget = decision.budget
+            await asyncio.sleep(decision.after_seconds)
+            attempt = attempt._replace(
+                slot=slot,
+                request_id=requests.attempt_id(request.request_id, len(tried)),
+            )
 
     async def dispatch(
         self,
@@ -64,51 +78,47 @@
             return outcomes.NotRun(outcomes.Reason.no_owner)
         return await self.local.run(dispatcher.Dispatch(request, target))
 
-    def take_forward(self, message: peer.Forward) -> None:
-        """Starts to run a request that a peer forwarded."""
-        task = asyncio.create_task(self._answer(message))
-        self.running.add(task)
-        task.add_done_callback(self.running.discard)
-
-    def take_answer(self, message: peer.Answer) -> None:
-        """Hands an answer to the request that waits for it, if any does."""
-        waiting = self.pending.get(message['request_id'])
-        if waiting is not None and not waiting.done():
-            waiting.set_result(messages.outcome_of(message))
+    def _decide(
+        self,
+        attempt: requests.RoutedRequest,
+        outcome: outcomes.Outcome,
+        next_slot: int,
+        attempts: int,
+    ) -> retry.Decision:
+        situation = retry.Situation(
+            outcome=outcome,
+            repeatable=attempt.repeatable,
+            elsewhere=next_slot != attempt.slot,
+            attempts=attempts,
+            left_seconds=attempt.deadline - time.monotonic(),
+        )
+        return retry.decide(situation, self.budget)
 
-    async def _forward(
+    async def _try(
         self,
         request: requests.RoutedRequest,
-        target: str,
-        address: str,
+        target: state.TargetState | None,
     ) -> outcomes.Outcome:
-        message = messages.forward_of(self.instance, request, target)
-        waiting: asyncio.Future[outcomes.Outcome] = asyncio.Future()
-        self.pending[request.request_id] = waiting
-        try:
-            if not self.peers.send(address, message):
-                return outcomes.NotRun(outcomes.Reason.peer_unreachable)
-            return await asyncio.wait_for(
-                waiting,
-                request.deadline - time.monotonic(),
-            )
-        except TimeoutError:
-            return outcomes.Unknown(outcomes.Reason.answer_lost)
-        finally:
-            self.pending.pop(request.request_id, None)
-
-    async def _answer(self, message: peer.Forward) -> None:
-        request = messages.request_of(message)
-        outcome = await self.dispatch(request)
-        member = self.reader.view.members.get(message['sender'])
+        if target is None:
+            return outcomes.NotRun(outcomes.Reason.no_owner)
+        leader = roles.leader_of_target(self.reader.view, target.target)
+        if leader == self.instance:
+            return await self._dispatch_here(request)
+        member = self.reader.view.members.get(leader)
         if member is None:
-            return
-        answer = messages.answer_of(
-            self.instance,
-            request.request_id,
-            outcome,
-        )
-        self.peers.send(member.peer_address, answer)
+            return outcomes.NotRun(outcomes.Reason.not_leader)
+        return await self.forwards.send(request, target.target, member)
+
+    async def _dispatch_here(
+        self,
+        request: requests.RoutedRequest,
+    ) -> outcomes.Outcome:
+        if request.repeatable:
+            return await self.dispatch(request)
+        task = asyncio.create_task(self.dispatch(request))
+        self.once.add(task)
+        task.add_done_callback(self.once.discard)
+        return await asyncio.shield(task)
 
 
 def owner_of(
--- a/src/bilberryglade/_delivery/messages.py
+++ b/src/bilberryglade/_delivery/messages.py
@@ -83,6 +83,16 @@
     return answer
 
 
+def step_of(kind: str, sender: str, request_id: str) -> dict[str, object]:
+    """Returns a message about a forward that carries its id alone."""
+    return {
+        'kind': kind,
+        'version': handlers.VERSION,
+        'sender': sender,
+        'request_id': request_id,
+    }
+
+
 def outcome_of(message: peer.Answer) -> outcomes.Outcome:
     """Returns the outcome that `message` carries."""
     if message['outcome'] == 'answered':
--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -103,6 +103,7 @@
             self.dispatcher,
             self.peers,
         )
+        self.reader.listeners.append(self.delivery.forwards.observe)
         self.duties = duties.Duties(
             name,
             config['failure_domain'],
--- a/src/bilberryglade/_targets/client.py
+++ b/src/bilberryglade/_targets/client.py
@@ -196,7 +196,7 @@
         )
     headers.update(
         {
-            'request-id': request.request_id,
+            'request-id': requests.caller_request_id(request.request_id),
             'organisation': request.organisation,
             'routing-key': request.key,
             'grant-slot': str(grant.slot),
--- a/src/bilberryglade/_values/requests.py
+++ b/src/bilberryglade/_values/requests.py
@@ -8,7 +8,7 @@
 class RoutedRequest(typing.NamedTuple):
     """A request that may run, with everything its delivery needs."""
 
-    #: Never reused; correlates each hop of this request.
+    #: Never reused; each attempt has its own, made by `attempt_id`.
     request_id: str
     organisation: str
     service: str
@@ -26,3 +26,13 @@
     repeatable: bool
     #: Digest of organisation and `Idempotency-Key`; empty if repeatable.
     idempotency_digest: str
+
+
+def attempt_id(request_id: str, attempts: int) -> str:
+    """Returns the id of the attempt that follows `attempts` others."""
+    return f'{request_id}.{attempts}' if attempts else request_id
+
+
+def caller_request_id(request_id: str) -> str:
+    """Returns the id that all attempts of one request share."""
+    return request_id.partition('.')[0]
--- a/src/bilberryglade_schema/peer.py
+++ b/src/bilberryglade_schema/peer.py
@@ -94,3 +94,36 @@
 
     kind: str
     version: int
+
+
+class ForwardAccepted(TypedDict):
+    """
+    The leader has a forward and can run it.
+    """
+
+    kind: Literal['forward_accepted']
+    version: int
+    sender: str
+    request_id: str
+
+
+class ForwardProceed(TypedDict):
+    """
+    The sender of an accepted forward still waits - run it.
+    """
+
+    kind: Literal['forward_proceed']
+    version: int
+    sender: str
+    request_id: str
+
+
+class ForwardCancel(TypedDict):
+    """
+    The sender of a forward has given up.
+    """
+
+    kind: Literal['forward_cancel']
+    version: int
+    sender: str
+    request_id: str
