--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -31,6 +31,8 @@
 
 CONNECTIONS_PER_HOST: typing.Final = 130
 CONNECTIONS_TO_TARGETS: typing.Final = 1024
+#: Shorter than servers usually keep idle connections.
+CONNECTION_IDLE_MS: typing.Final = 1000
 JOIN_SECONDS: typing.Final = 10.0
 REGISTERED: typing.Final = (
     ownership_folds,
@@ -55,7 +57,10 @@
         self.config = config
         self.boot = uuid.uuid4().hex
         name = config['instance']
-        pool = pools.PoolConfig(size=CONNECTIONS_PER_HOST)
+        pool = pools.PoolConfig(
+            size=CONNECTIONS_PER_HOST,
+            max_conn_idle_ms=CONNECTION_IDLE_MS,
+        )
         self.http = aiosonic.HTTPClient(
             connectors.TCPConnector(pool_configs={':default': pool}),
         )
