At most once: intents durable before dispatch, read whole by each new leader

A caller that names its request (digest in `idempotency_digest`) and sends it again, to another instance, at the same moment, after the leader changed or after every instance was replaced, must not have it run twice. Now the leader of the request's slot records an intent in the stream `intents.<service>` before it dispatches, and then compares its tenure (fence and newest change of topology) with the one in which it last read the stream whole. A new tenure reads it whole again. A repeat joins the attempt in progress, gets the kept answer, or `already_tried` (409, unknown). A request that was not run has its attempt released, in the stream too, so that a later try is a new attempt.

A lagging replica of the log hides the newest records and its own lag. So the reader appends a mark and reads until it sees it. An attempt is named by digest and record id: intents and releases count in any order, and a release by one leader cannot free an attempt of another.

With the log down the request is refused as not run (`intent_not_recorded`).

--- a/src/bilberryglade/_callers/problems.py
+++ b/src/bilberryglade/_callers/problems.py
@@ -22,10 +22,14 @@
         outcomes.Reason.already_tried: 409,
         outcomes.Reason.deadline: 504,
         outcomes.Reason.quarantined: 422,
+        outcomes.Reason.idempotency_key_reused: 422,
     }
 )
 UNAVAILABLE_STATUS: typing.Final = 503
 UNKNOWN_STATUS: typing.Final = 502
+UNKNOWN_STATUSES: typing.Final = types.MappingProxyType(
+    {outcomes.Reason.already_tried: 409},
+)
 
 
 class Problem(typing.TypedDict):
@@ -43,7 +47,7 @@
 ) -> responses.Response:
     """Returns the response that tells a caller of `outcome`."""
     is_not_run = isinstance(outcome, outcomes.NotRun)
-    status = UNKNOWN_STATUS
+    status = UNKNOWN_STATUSES.get(outcome.reason, UNKNOWN_STATUS)
     if is_not_run:
         status = STATUSES.get(outcome.reason, UNAVAILABLE_STATUS)
     problem: Problem = {
--- a/src/bilberryglade/_delivery/delivery.py
+++ b/src/bilberryglade/_delivery/delivery.py
@@ -1,9 +1,10 @@
 """Brings a routed request to the leader of its key's owner, and back."""
 
 import asyncio
+import functools
 import time
 
-from bilberryglade._delivery import dispatcher, forwards, retry
+from bilberryglade._delivery import dispatcher, forwards, once, retry
 from bilberryglade._log import follower
 from bilberryglade._ownership import leases
 from bilberryglade._peers import network
@@ -22,12 +23,14 @@
         granter: leases.Leases,
         local: dispatcher.Dispatcher,
         peers: network.PeerNetwork,
+        named: once.Once,
     ) -> None:
-        """Acts as `instance`."""
+        """Acts as `instance`; `named` runs what callers have named."""
         self.instance = instance
         self.reader = reader
         self.granter = granter
         self.local = local
+        self.named = named
         self.forwards = forwards.Forwards(
             instance, reader, peers, self.dispatch
         )
@@ -68,6 +71,17 @@
         request: requests.RoutedRequest,
     ) -> outcomes.Outcome:
         """Runs `request` at its target, which this instance must lead."""
+        if request.repeatable or not request.idempotency_digest:
+            return await self._run_led(request)
+        return await self.named.run(
+            request,
+            functools.partial(self._run_led, request),
+        )
+
+    async def _run_led(
+        self,
+        request: requests.RoutedRequest,
+    ) -> outcomes.Outcome:
         view = self.reader.view
         target = owner_of(view, request)
         if target is None:
--- /dev/null
+++ b/src/bilberryglade/_delivery/intent_log.py
@@ -0,0 +1,229 @@
+"""The intent stream of one service: group commit, and reading it whole."""
+
+import asyncio
+import time
+import typing
+
+import result
+
+from bilberryglade._codec import codec
+from bilberryglade._delivery import gathering, intents
+from bilberryglade._log import log_client, recorder
+from bilberryglade._values import steps
+from bilberryglade_schema import platform, records
+
+APPEND: typing.Final = steps.declare(
+    'intents.append',
+    steps.StepKind.append,
+)
+READ: typing.Final = steps.declare('intents.read', steps.StepKind.read)
+APPEND_SECONDS: typing.Final = 0.5
+COMMIT_SECONDS: typing.Final = 2.0
+#: Appends of a service that may wait for their answer at the same time.
+MAX_IN_FLIGHT: typing.Final = 4
+#: Newest records that a leader reads; intents in older ones are forgotten.
+WINDOW_RECORDS: typing.Final = 65_536
+AGAIN_SECONDS: typing.Final = 0.02
+
+
+class Committed(typing.NamedTuple):
+    """What became of an intent that was to be recorded."""
+
+    attempt: intents.Attempt
+    #: Whether the log has acknowledged it; else it may still turn up.
+    is_durable: bool
+
+
+class Waiting(typing.NamedTuple):
+    """An intent that waits for its append."""
+
+    entry: records.IntentEntry
+    committed: asyncio.Future[Committed]
+
+
+class Batch(typing.NamedTuple):
+    """What one append carries."""
+
+    waiting: list[Waiting]
+    releases: list[intents.Attempt]
+
+
+class IntentLog:
+    """Writes and reads the intents of one service."""
+
+    def __init__(
+        self,
+        instance: str,
+        service: str,
+        log: log_client.LogClient,
+        pacer: gathering.Pacer,
+    ) -> None:
+        """Writes as `instance` at the pace of `pacer`."""
+        self.instance = instance
+        self.stream = f'intents.{service}'
+        self.log = log
+        self.pacer = pacer
+        self.waiting: list[Waiting] = []
+        self.releases: list[intents.Attempt] = []
+        self.places = asyncio.Semaphore(MAX_IN_FLIGHT)
+        self.flusher: asyncio.Task[None] | None = None
+        self.commits: set[asyncio.Task[None]] = set()
+        self.ledger = intents.Ledger()
+        #: Offset of the last record that was folded.
+        self.offset = 0
+        self.appends = 0
+
+    async def record(self, digest: str, organisation: str) -> Committed:
+        """Makes the intent of a request durable, in a batch with others."""
+        committed: asyncio.Future[Committed] = asyncio.Future()
+        entry: records.IntentEntry = {
+            'digest': digest,
+            'organisation': organisation,
+        }
+        self.waiting.append(Waiting(entry, committed))
+        self._start()
+        return await committed
+
+    def release(self, attempt: intents.Attempt) -> None:
+        """Records, with the next append, that an attempt never ran."""
+        self.releases.append(attempt)
+        self._start()
+
+    async def read_whole(self, seconds: float) -> bool:
+        """Folds everything that was acknowledged before this call.
+
+        A lagging replica of the log would hide the newest intents, and its
+        head with them. So a mark is appended and read back: whatever was
+        acknowledged before has a lower offset than the mark. Returns False
+        if that could not be done in time.
+        """
+        deadline = time.monotonic() + seconds
+        if not self.offset and not await self._skip():
+            return False
+        mark = self._record([], [])
+        is_appended = False
+        while time.monotonic() < deadline:
+            is_appended = is_appended or await self._append(mark)
+            if mark['id'] in await self._read():
+                return True
+            await asyncio.sleep(AGAIN_SECONDS)
+        return False
+
+    async def _skip(self) -> bool:
+        """Skips records that are older than the window."""
+        answer = await self.log.read(self.stream, 1, 0, APPEND_SECONDS)
+        if isinstance(answer, result.Err):
+            return False
+        self.offset = max(answer.ok_value['head'] - WINDOW_RECORDS, 0)
+        return True
+
+    def _start(self) -> None:
+        if self.flusher is None or self.flusher.done():
+            self.flusher = asyncio.create_task(self._flush())
+
+    async def _flush(self) -> None:
+        while self.waiting or self.releases:
+            plan = self.pacer.plan(len(self.waiting), time.monotonic())
+            if plan.wait_seconds:
+                await asyncio.sleep(plan.wait_seconds)
+                continue
+            await self.places.acquire()
+            batch = self._take(plan.entries)
+            task = asyncio.create_task(self._commit(batch))
+            self.commits.add(task)
+            task.add_done_callback(self._end_commit)
+
+    def _take(self, entries: int) -> Batch:
+        batch = Batch(
+            self.waiting[:entries],
+            self.releases[: gathering.MAX_ENTRIES],
+        )
+        self.waiting = self.waiting[entries:]
+        self.releases = self.releases[gathering.MAX_ENTRIES :]
+        return batch
+
+    def _end_commit(self, task: asyncio.Task[None]) -> None:
+        self.commits.discard(task)
+        self.places.release()
+
+    async def _commit(self, batch: Batch) -> None:
+        record = self._record(
+            [row.entry for row in batch.waiting],
+            batch.releases,
+        )
+        is_durable = await self._append_until_seen(record)
+        if not is_durable:
+            self.releases.extend(batch.releases)
+        for row in batch.waiting:
+            attempt = intents.Attempt(row.entry['digest'], record['id'])
+            if is_durable:
+                self.ledger = intents.on_recorded(self.ledger, attempt)
+            if not row.committed.done():
+                row.committed.set_result(Committed(attempt, is_durable))
+
+    async def _append_until_seen(
+        self,
+        record: records.IntentsRecorded,
+    ) -> bool:
+        """Appends again after an unclear answer, unless it is read back."""
+        deadline = time.monotonic() + COMMIT_SECONDS
+        while time.monotonic() < deadline:
+            if await self._append(record):
+                return True
+            if record['id'] in await self._read():
+                return True
+            await asyncio.sleep(AGAIN_SECONDS)
+        return False
+
+    async def _append(self, record: records.IntentsRecorded) -> bool:
+        self.appends += 1
+        appended = await self.log.append(
+            self.stream,
+            dict(record),
+            APPEND_SECONDS,
+        )
+        return isinstance(appended, result.Ok)
+
+    async def _read(self) -> set[str]:
+        """Folds the records after `offset`; returns the ids of all of them."""
+        ids: set[str] = set()
+        is_full = True
+        while is_full:
+            answer = await self.log.read(
+                self.stream,
+                self.offset + 1,
+                0,
+                APPEND_SECONDS,
+            )
+            if isinstance(answer, result.Err):
+                return ids
+            for stored in answer.ok_value['records']:
+                ids.add(str(stored['record'].get('id', '')))
+                self._fold(stored)
+            is_full = self.offset < answer.ok_value['head']
+        return ids
+
+    def _fold(self, stored: platform.StoredRecord) -> None:
+        if stored['offset'] <= self.offset:
+            return
+        self.offset = stored['offset']
+        record = codec.convert(stored['record'], records.IntentsRecorded)
+        if isinstance(record, result.Ok):
+            self.ledger = intents.fold(self.ledger, record.ok_value)
+
+    def _record(
+        self,
+        entries: list[records.IntentEntry],
+        releases: list[intents.Attempt],
+    ) -> records.IntentsRecorded:
+        return {
+            'id': recorder.new_record_id(),
+            'kind': 'intents_recorded',
+            'leader': self.instance,
+            'term': 0,
+            'entries': entries,
+            'released': [
+                {'digest': released.digest, 'record': released.record}
+                for released in releases
+            ],
+        }
--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -16,7 +16,13 @@
 
 from bilberryglade._admin import application as admin
 from bilberryglade._callers import application as callers
-from bilberryglade._delivery import delivery, dispatcher, peer_handlers
+from bilberryglade._delivery import (
+    delivery,
+    dispatcher,
+    once,
+    peer_handlers,
+    tenures,
+)
 from bilberryglade._instance import duties
 from bilberryglade._listing import list_client
 from bilberryglade._log import follower, log_client, recorder
@@ -104,12 +110,19 @@
             config['limits']['queue_length'],
         )
         self.reader.listeners.append(self.dispatcher.observe)
+        self.named = once.Once(
+            name,
+            self.log,
+            tenures.Tenures(name, self.reader, self.granter),
+        )
+        self.reader.listeners.append(self.named.observe)
         self.delivery = delivery.Delivery(
             name,
             self.reader,
             self.granter,
             self.dispatcher,
             self.peers,
+            self.named,
         )
         self.reader.listeners.append(self.delivery.forwards.observe)
         self.duties = duties.Duties(
--- a/src/bilberryglade/_values/outcomes.py
+++ b/src/bilberryglade/_values/outcomes.py
@@ -30,6 +30,7 @@
     answer_lost = 'answer_lost'
     already_tried = 'already_tried'
     intent_not_recorded = 'intent_not_recorded'
+    idempotency_key_reused = 'idempotency_key_reused'
     quarantined = 'quarantined'
     stopping = 'stopping'
     too_large = 'too_large'
--- a/src/bilberryglade_schema/records.py
+++ b/src/bilberryglade_schema/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, TypeAlias
+from typing import Any, Literal, NotRequired, TypeAlias
 
 from typing_extensions import TypedDict
 
@@ -163,9 +163,18 @@
     organisation: Name
 
 
+class IntentRelease(TypedDict, closed=True):
+    """
+    An attempt that was recorded, never ran and never will.
+    """
+
+    digest: str
+    record: RecordId
+
+
 class IntentsRecorded(TypedDict, closed=True):
     """
-    A group commit of intents, in the intent stream of a service.
+    A group commit of intents and releases, in the intent stream of a service. One with neither marks a place that a reader waits for.
     """
 
     id: RecordId
@@ -173,3 +182,4 @@
     leader: Name
     term: Offset
     entries: list[IntentEntry]
+    released: NotRequired[list[IntentRelease]]
