--- a/src/bilberryglade/_routing/roles.py
+++ b/src/bilberryglade/_routing/roles.py
@@ -38,3 +38,12 @@
         for member in view.members.values()
         if member.failure_domain == failure_domain
     )
+
+
+def quota_home(
+    view: state.ClusterState,
+    organisation: str,
+    limit: str,
+) -> str:
+    """Returns the instance that hands out an organisation's tokens."""
+    return slots.best(f'quota|{organisation}|{limit}', view.members)
--- /dev/null
+++ b/src/bilberryglade_lab/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on virtual clocks."""
--- a/src/bilberryglade_schema/peer.py
+++ b/src/bilberryglade_schema/peer.py
@@ -94,3 +94,46 @@
 
     kind: str
     version: int
+
+
+class TokenSettlement(TypedDict):
+    """
+    What became of the tokens of one grant up to now.
+    """
+
+    sequence: int
+    used: int
+    returned: int
+
+
+class TokenAsk(TypedDict):
+    """
+    An entry asks a quota's home for tokens and reports on earlier grants.
+    """
+
+    kind: Literal['token_ask']
+    version: int
+    instance: str
+    boot: str
+    organisation: str
+    limit: str
+    sequence: int
+    needed: int
+    extra: int
+    settled: list[TokenSettlement]
+
+
+class TokenGrant(TypedDict):
+    """
+    The answer to an ask for tokens. Without `confirmed` the giver could not speak as the home.
+    """
+
+    kind: Literal['token_grant']
+    version: int
+    instance: str
+    organisation: str
+    limit: str
+    sequence: int
+    count: int
+    retry_us: int
+    confirmed: bool
