Callers: API keys, canonical paths, names of requests, admission at the entry

Cause: a key withdrawn while its request was under way still got its answer; paths were forwarded percent-decoded, so an escaped line break reached the request line of a target and an escaped letter got round the rule on repeats; callers could forge the headers that carry grants; rates were not enforced.

Decided: keys are checked before the run and before the answer is handed out; an answer of a run whose key was withdrawn is withheld and the run told. Rules match the canonical path that is forwarded; ambiguous ones are refused. A request that must not run twice needs an Idempotency-Key, and its digest decides its slot where the service has no key.

Rows of the fault matrix for asks, grants and the two checks of keys; pending: a pause between a spent token and its forward.

--- a/src/bilberryglade/_callers/application.py
+++ b/src/bilberryglade/_callers/application.py
@@ -1,4 +1,4 @@
-"""The callers' listener: authenticates, routes, delivers, answers."""
+"""The callers' listener: authenticates, admits, delivers, answers."""
 
 import time
 import typing
@@ -7,17 +7,20 @@
 import result
 from starlette import applications, requests, responses, routing
 
-from bilberryglade._callers import credentials, problems
+from bilberryglade._callers import credentials, forwarding, intake, problems
 from bilberryglade._delivery import delivery
+from bilberryglade._limits import policies, tokens
 from bilberryglade._log import follower
-from bilberryglade._routing import matching, slots
-from bilberryglade._state import state
-from bilberryglade._targets import client
-from bilberryglade._values import outcomes, requests as routed
+from bilberryglade._values import outcomes, steps
 from bilberryglade_schema import settings
 
 METHODS: typing.Final = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
-IDEMPOTENCY_HEADER: typing.Final = 'idempotency-key'
+#: Open routes need knowledge of withdrawn keys that is younger than this.
+KEY_AGE_SECONDS: typing.Final = 3.0
+MILLISECONDS: typing.Final = 1000
+
+steps.declare('api_key.read_body', steps.StepKind.check_to_act)
+steps.declare('api_key.answer', steps.StepKind.check_to_act)
 
 
 class CallerFront:
@@ -27,45 +30,42 @@
         self,
         reader: follower.Follower,
         deliverer: delivery.Delivery,
+        admission: policies.Policy,
+        authority: policies.HasAuthority,
         config: settings.InstanceSettings,
     ) -> None:
         """Reads agreed state from `reader`, runs requests by `deliverer`."""
         self.reader = reader
         self.deliverer = deliverer
+        self.admission = admission
+        self.authority = authority
         self.config = config
 
     async def serve(self, request: requests.Request) -> responses.Response:
         """Answers one request."""
-        headers = tuple(
-            outcomes.Header(
-                name.decode('latin-1').lower(), text.decode('latin-1')
-            )
-            for name, text in request.headers.raw
+        accepted = intake.accept(
+            self.reader.view,
+            _raw(request),
+            self.config['timings']['request_limit_ms'] / MILLISECONDS,
         )
-        secret = credentials.find_secret(headers)
-        api_key = credentials.find_key(self.reader.view, secret)
-        if api_key is None:
-            return _refuse(outcomes.Reason.no_credentials)
-        line = matching.RequestLine(
-            request.method,
-            request.url.path,
-            request.url.query,
-            headers,
-        )
-        route = matching.match(
-            self.reader.view.rules.book,
-            api_key.organisation,
-            line,
-        )
-        if isinstance(route, result.Err):
-            return _refuse(route.err_value)
+        if isinstance(accepted, result.Err):
+            return _refuse(accepted.err_value)
+        began = time.monotonic()
         body = await self._body(request)
         if body is None:
             return _refuse(outcomes.Reason.too_large)
-        outcome = await self.deliverer.deliver(
-            self._routed(api_key, route.ok_value, line, body, secret),
+        refusal = await self._admit(accepted.ok_value)
+        if refusal is not None:
+            return problems.refusal(refusal)
+        routed = intake.routed(
+            self.reader.view,
+            accepted.ok_value,
+            uuid.uuid4().hex,
+            body,
+            began,
         )
-        return _response(outcome)
+        outcome = await self.deliverer.deliver(routed)
+        return self._response(accepted.ok_value, outcome)
 
     async def _body(self, request: requests.Request) -> bytes | None:
         limit = self.config['limits']['body_bytes']
@@ -78,44 +78,52 @@
             parts.append(part)
         return b''.join(parts)
 
-    def _routed(
+    async def _admit(
         self,
-        api_key: state.ApiKey,
-        route: matching.Route,
-        line: matching.RequestLine,
-        body: bytes,
-        secret: str,
-    ) -> routed.RoutedRequest:
-        request_id = uuid.uuid4().hex
-        seconds = self.config['timings']['request_limit_ms'] / 1000
-        path = f'{line.path}?{line.query}' if line.query else line.path
-        return routed.RoutedRequest(
-            request_id=request_id,
-            organisation=api_key.organisation,
-            service=route.service,
-            slot=slot_for(self.reader.view, route, request_id),
-            key=route.key,
-            method=line.method,
-            path=path,
-            headers=_forwardable(line.headers, secret),
-            body=body,
-            deadline=time.monotonic() + seconds,
-            repeatable=route.repeatable,
-            idempotency_digest='',
+        accepted: intake.Accepted,
+    ) -> outcomes.NotRun | None:
+        """Returns why a request may not run, or None after it was counted.
+
+        The API key is checked after the waits for the body and for a token.
+        """
+        route = accepted.route
+        api_key = accepted.api_key
+        if not credentials.is_valid(self.reader.view, api_key):
+            return outcomes.NotRun(outcomes.Reason.no_credentials)
+        refusal = await self.admission.admit(
+            tokens.QuotaName(api_key.organisation, route.limit),
+            tokens.Limit(route.rate, route.burst),
         )
-
-
-def slot_for(
-    view: state.ClusterState,
-    route: matching.Route,
-    request_id: str,
-) -> int:
-    """Returns the slot of a request: its key's, or one at random."""
-    if not route.key:
-        return slots.slot_of(request_id)
-    service = view.services.get(route.service, state.ServiceSlots())
-    hot = service.hot_slots.get(slots.key_digest(route.key))
-    return slots.slot_of(route.key) if hot is None else hot
+        if refusal is not None:
+            return refusal
+        if not credentials.is_valid(self.reader.view, api_key):
+            return outcomes.NotRun(outcomes.Reason.no_credentials)
+        if route.is_open and not self._knows_keys():
+            return outcomes.NotRun(outcomes.Reason.key_unconfirmed)
+        return None
+
+    def _knows_keys(self) -> bool:
+        is_young = self.reader.age_seconds <= KEY_AGE_SECONDS
+        return is_young or self.authority.has_authority
+
+    def _response(
+        self,
+        accepted: intake.Accepted,
+        outcome: outcomes.Outcome,
+    ) -> responses.Response:
+        if not isinstance(outcome, outcomes.Answered):
+            return problems.refusal(outcome)
+        if not credentials.is_valid(self.reader.view, accepted.api_key):
+            return problems.withheld(outcomes.Reason.key_withdrawn)
+        if accepted.route.is_open and not self._knows_keys():
+            return problems.withheld(outcomes.Reason.key_unconfirmed)
+        response = responses.Response(
+            outcome.body,
+            status_code=outcome.status,
+        )
+        for header in forwarding.to_caller(outcome.headers):
+            response.headers.append(header.name, header.text)
+        return response
 
 
 def application(front: CallerFront) -> applications.Starlette:
@@ -124,25 +132,21 @@
     return applications.Starlette(routes=[route])
 
 
-def _forwardable(
-    headers: tuple[outcomes.Header, ...],
-    secret: str,
-) -> tuple[outcomes.Header, ...]:
-    kept = credentials.without_key(headers, secret)
-    return tuple(
-        header for header in kept if header.name not in client.HOP_HEADERS
+def _raw(request: requests.Request) -> intake.Raw:
+    raw_path: bytes = request.scope['raw_path']
+    query: bytes = request.scope['query_string']
+    return intake.Raw(
+        method=request.method,
+        path=raw_path.decode('latin-1').partition('?')[0],
+        query=query.decode('latin-1'),
+        headers=tuple(
+            outcomes.Header(
+                name.decode('latin-1').lower(), text.decode('latin-1')
+            )
+            for name, text in request.headers.raw
+        ),
     )
 
 
 def _refuse(reason: outcomes.Reason) -> responses.Response:
     return problems.refusal(outcomes.NotRun(reason))
-
-
-def _response(outcome: outcomes.Outcome) -> responses.Response:
-    if not isinstance(outcome, outcomes.Answered):
-        return problems.refusal(outcome)
-    return responses.Response(
-        outcome.body,
-        status_code=outcome.status,
-        headers={header.name: header.text for header in outcome.headers},
-    )
--- a/src/bilberryglade/_callers/problems.py
+++ b/src/bilberryglade/_callers/problems.py
@@ -17,6 +17,8 @@
         outcomes.Reason.no_credentials: 401,
         outcomes.Reason.not_allowed: 403,
         outcomes.Reason.key_missing: 400,
+        outcomes.Reason.idempotency_key_missing: 400,
+        outcomes.Reason.bad_request: 400,
         outcomes.Reason.over_rate: 429,
         outcomes.Reason.too_large: 413,
         outcomes.Reason.already_tried: 409,
@@ -26,6 +28,7 @@
 )
 UNAVAILABLE_STATUS: typing.Final = 503
 UNKNOWN_STATUS: typing.Final = 502
+WITHHELD_STATUS: typing.Final = 401
 
 
 class Problem(typing.TypedDict):
@@ -34,10 +37,25 @@
     type: str
     title: str
     status: int
-    #: `not-run` or `unknown`.
+    #: `not-run`, `unknown` or `ran`.
     run_state: str
 
 
+def withheld(reason: outcomes.Reason) -> responses.Response:
+    """Returns the response to a request that ran but whose answer stays here."""
+    problem: Problem = {
+        'type': f'urn:bilberryglade:problem:{reason}',
+        'title': reason.replace('_', ' '),
+        'status': WITHHELD_STATUS,
+        'run_state': 'ran',
+    }
+    return responses.Response(
+        codec.encode_json(problem),
+        status_code=WITHHELD_STATUS,
+        media_type=MEDIA_TYPE,
+    )
+
+
 def refusal(
     outcome: outcomes.NotRun | outcomes.Unknown,
 ) -> responses.Response:
--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -17,6 +17,11 @@
 from bilberryglade._callers import application as callers
 from bilberryglade._delivery import delivery, dispatcher, peer_handlers
 from bilberryglade._instance import duties
+from bilberryglade._limits import (
+    peer_handlers as limit_handlers,
+    policies,
+    quotas,
+)
 from bilberryglade._listing import list_client
 from bilberryglade._log import follower, log_client, recorder
 from bilberryglade._membership import (
@@ -40,6 +45,7 @@
     topology_folds,
     peer_handlers,
     membership_handlers,
+    limit_handlers,
 )
 
 
@@ -115,7 +121,24 @@
             self.writer,
             list_client.ListClient(platform['list_url'], self.http),
         )
-        self.front = callers.CallerFront(self.reader, self.delivery, config)
+        self.quotas = quotas.Quotas(
+            policies.Fleet(
+                instance=name,
+                boot=self.boot,
+                reader=self.reader,
+                peers=self.peers,
+                timings=config['timings'],
+                authority=self.granter,
+            ),
+        )
+        self.reader.listeners.append(self.quotas.follow)
+        self.front = callers.CallerFront(
+            self.reader,
+            self.delivery,
+            self.quotas,
+            self.granter,
+            config,
+        )
         self.rejected_messages = 0
 
     async def run(self) -> None:
@@ -128,6 +151,7 @@
                 self.granter.renew(),
                 self.duties.perform(),
                 self.heartbeats.beat(),
+                self.quotas.keep(),
                 self._receive(),
             )
         ]
--- a/src/bilberryglade_lab/experiments/limits_model.py
+++ b/src/bilberryglade_lab/experiments/limits_model.py
@@ -138,11 +138,14 @@
         self.random = random.Random(seed)  # noqa: S311
         self.limits = limits
         self.policy = policy
-        self.link = link
+        #: Links of asks and of grants.
+        self.asks = link
+        self.grants = link
         super().__init__()
         self.log = state.ClusterState()
         self.instances: dict[str, Instance] = {}
-        self.cuts: set[frozenset[str]] = set()
+        #: Senders and receivers that lose each other's messages.
+        self.cuts: set[tuple[str, str]] = set()
         self.events: list[limits_observer.Event] = []
 
     def join(self, name: str, speed: float = 1) -> None:
@@ -275,6 +278,7 @@
             self._carry(
                 node,
                 home,
+                self.asks,
                 functools.partial(self._answer, home, node, quota, ask),
             )
 
@@ -301,6 +305,7 @@
             self._carry(
                 home,
                 entry,
+                self.grants,
                 functools.partial(self._granted, entry, quota, answered.grant),
             )
 
@@ -326,10 +331,10 @@
         self,
         sender: Instance,
         receiver: Instance,
+        link: Link,
         action: abc.Callable[[], None],
     ) -> None:
-        link = self.link
-        if frozenset((sender.name, receiver.name)) in self.cuts:
+        if (sender.name, receiver.name) in self.cuts:
             return
         copies = 1 + (self.random.random() < link.duplication)
         for _ in range(copies):
--- /dev/null
+++ b/src/bilberryglade_lab/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes at the interfaces of the parts."""
--- a/src/bilberryglade_lab/matrix/pending.py
+++ b/src/bilberryglade_lab/matrix/pending.py
@@ -14,4 +14,6 @@
     faults: tuple[str, ...]
 
 
-PENDING: typing.Final[tuple[Pending, ...]] = ()
+PENDING: typing.Final[tuple[Pending, ...]] = (
+    Pending('quota.spend_to_forward', ('pause',)),
+)
