--- a/src/bilberryglade/_rules/contradictions.py
+++ b/src/bilberryglade/_rules/contradictions.py
@@ -7,7 +7,9 @@
 from bilberryglade._values import registry
 
 #: Headers that carry API keys; targets never see them.
-CREDENTIAL_HEADERS: typing.Final = frozenset(('authorization', 'x-api-key'))
+CREDENTIAL_HEADERS: typing.Final = frozenset(
+    ('authorization', 'proxy-authorization', 'x-api-key'),
+)
 
 Lines: typing.TypeAlias = abc.Sequence[rules.RuleLine]
 Errors: typing.TypeAlias = abc.Iterator[rules.RuleError]
