--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -18,14 +18,27 @@
 from bilberryglade._delivery import delivery, dispatcher, peer_handlers
 from bilberryglade._instance import duties
 from bilberryglade._listing import list_client
-from bilberryglade._log import follower, log_client, recorder
+from bilberryglade._log import (
+    follower,
+    log_client,
+    log_duties,
+    peer_handlers as log_handlers,
+    recorder,
+    relay,
+    snapshots,
+)
 from bilberryglade._membership import (
     heartbeats,
     peer_handlers as membership_handlers,
 )
 from bilberryglade._ownership import leases
 from bilberryglade._peers import network
-from bilberryglade._state import ownership_folds, rule_folds, topology_folds
+from bilberryglade._state import (
+    folding,
+    ownership_folds,
+    rule_folds,
+    topology_folds,
+)
 from bilberryglade._targets import client
 from bilberryglade_schema import settings
 
@@ -40,6 +53,7 @@
     topology_folds,
     peer_handlers,
     membership_handlers,
+    log_handlers,
 )
 
 
@@ -66,9 +80,11 @@
         )
         platform = config['platform']
         self.log = log_client.LogClient(platform['log_url'], self.http)
+        self.snapshots = snapshots.SnapshotStream(self.log, name)
         self.reader = follower.Follower(
             self.log,
             config['timings']['log_wait_ms'],
+            self.snapshots,
         )
         self.writer = recorder.Recorder(self.log, self.reader)
         self.targets = client.TargetClient(
@@ -108,12 +124,32 @@
             self.dispatcher,
             self.peers,
         )
+        self.relay = relay.Relay(
+            name,
+            config['listen']['peers'],
+            self.reader,
+            self.peers,
+            config['timings']['drift_permille'],
+        )
+        self.heartbeats.listeners.append(self.relay.hear)
+        self.snapshot_writer = log_duties.SnapshotWriter(
+            name,
+            self.reader,
+            self.snapshots,
+        )
+        listing = list_client.ListClient(platform['list_url'], self.http)
+        self.cold_start = log_duties.ColdStart(
+            name,
+            self.reader,
+            listing,
+            self.relay,
+        )
         self.duties = duties.Duties(
             name,
             config['failure_domain'],
             self.reader,
             self.writer,
-            list_client.ListClient(platform['list_url'], self.http),
+            listing,
         )
         self.front = callers.CallerFront(self.reader, self.delivery, config)
         self.rejected_messages = 0
@@ -128,10 +164,12 @@
                 self.granter.renew(),
                 self.duties.perform(),
                 self.heartbeats.beat(),
+                self.snapshot_writer.perform(),
                 self._receive(),
+                self._join(),
             )
         ]
-        await self._join()
+        await self.cold_start.wait_until_ready()
         server = _server(
             callers.application(self.front),
             self.config['listen']['callers'],
@@ -148,18 +186,19 @@
 
     async def _join(self) -> None:
         listen = self.config['listen']
-        joined = await self.writer.commit(
-            {
-                'id': recorder.new_record_id(),
-                'kind': 'instance_joined',
-                'instance': self.config['instance'],
-                'boot': self.boot,
-                'failure_domain': self.config['failure_domain'],
-                'peer_address': listen['peers'],
-                'admin_address': listen['admin'],
-            },
-            JOIN_SECONDS,
-        )
+        record: folding.Record = {
+            'id': recorder.new_record_id(),
+            'kind': 'instance_joined',
+            'instance': self.config['instance'],
+            'boot': self.boot,
+            'failure_domain': self.config['failure_domain'],
+            'peer_address': listen['peers'],
+            'admin_address': listen['admin'],
+        }
+        joined = await self.writer.commit(record, JOIN_SECONDS)
+        while isinstance(joined, result.Err):
+            joined = await self.writer.commit(record, JOIN_SECONDS)
+        self.reader.require(joined.ok_value.offset)
         loguru.logger.info('joined: {}', joined)
 
     async def _receive(self) -> None:
--- a/src/bilberryglade/_log/log_client.py
+++ b/src/bilberryglade/_log/log_client.py
@@ -12,7 +12,8 @@
 from bilberryglade_schema import platform
 
 CONNECT_SECONDS: typing.Final = 1.0
-READ_LIMIT: typing.Final = 1000
+#: Records of one answer; each may have up to 1 MiB.
+READ_LIMIT: typing.Final = 100
 OK_STATUS: typing.Final = 200
 TOO_LARGE_STATUS: typing.Final = 413
 
@@ -62,9 +63,10 @@
         start: int,
         wait_ms: int,
         timeout_seconds: float,
+        limit: int = READ_LIMIT,
     ) -> result.Result[platform.ReadAnswer, LogFailure]:
-        """Reads records from offset `start`, waiting `wait_ms` for news."""
-        query = f'from={start}&limit={READ_LIMIT}&wait_ms={wait_ms}'
+        """Reads up to `limit` records from `start`, waiting for news."""
+        query = f'from={start}&limit={limit}&wait_ms={wait_ms}'
         exchanged = await self._exchange(
             'GET',
             f'{self.url}/streams/{stream}/records?{query}',
--- /dev/null
+++ b/src/bilberryglade/_log/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the log, the relay and what they decide."""
--- a/src/bilberryglade/_membership/heartbeats.py
+++ b/src/bilberryglade/_membership/heartbeats.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import typing
+from collections import abc
 
 from bilberryglade._log import follower
 from bilberryglade._peers import handlers, network
@@ -47,6 +48,8 @@
         self.peers = peers
         self.timings = timings
         self.signs: dict[str, Sign] = {}
+        #: Told of each sign of life that is kept.
+        self.listeners: list[abc.Callable[[Sign], None]] = []
         self.sequence = 0
         #: Monotonic seconds at which each recent heartbeat was sent.
         self.sent_at: dict[int, float] = {}
@@ -89,7 +92,7 @@
         asked_at = self.sent_at.get(message['sequence'])
         if asked_at is None:
             return
-        self.signs[message['instance']] = Sign(
+        sign = Sign(
             instance=message['instance'],
             boot=message['boot'],
             joined_at=message['joined_at'],
@@ -98,6 +101,9 @@
             asked_at=asked_at,
             heard_at=time.monotonic(),
         )
+        self.signs[sign.instance] = sign
+        for listener in self.listeners:
+            listener(sign)
 
     def _heartbeat(self) -> peer.Heartbeat:
         view = self.reader.view
--- a/src/bilberryglade/_routing/roles.py
+++ b/src/bilberryglade/_routing/roles.py
@@ -31,6 +31,11 @@
     return slots.best(f'registrar|{failure_domain}', names)
 
 
+def snapshot_writer(view: state.ClusterState) -> str:
+    """Returns the instance that writes snapshots of the state."""
+    return slots.best('snapshots', view.members)
+
+
 def members_of(view: state.ClusterState, failure_domain: str) -> list[str]:
     """Returns the instances of a failure domain, in alphabetical order."""
     return sorted(
--- a/src/bilberryglade/_state/folding.py
+++ b/src/bilberryglade/_state/folding.py
@@ -10,7 +10,8 @@
 from bilberryglade._state import state
 from bilberryglade._values import registry
 
-MAX_VERDICTS: typing.Final = 65_536
+#: Verdicts kept at most; when they are full, the older half is forgotten.
+MAX_VERDICTS: typing.Final = 16_384
 
 Record: typing.TypeAlias = dict[str, typing.Any]
 
@@ -73,8 +74,14 @@
     offset: int,
     record: Record,
 ) -> FoldStep:
-    """Folds the record at `offset`; unknown kinds and copies change nothing."""
-    record_id = str(record.get('id', ''))
+    """Folds the record at `offset`.
+
+    Copies of a record, unknown kinds, malformed records and records whose
+    own fold fails change nothing but the offset.
+    """
+    record_id = record.get('id')
+    if not isinstance(record_id, str) or not record_id:
+        return reject(before._replace(offset=offset), offset, 'no record id')
     known = before.verdicts.get(record_id)
     if known is not None:
         return FoldStep(before._replace(offset=offset), known)
@@ -101,7 +108,11 @@
     decoded = codec.convert(record, entry.kind)
     if isinstance(decoded, result.Err):
         return reject(before, offset, decoded.err_value.detail)
-    return entry.apply(before, offset, decoded.ok_value)
+    try:
+        return entry.apply(before, offset, decoded.ok_value)
+    except Exception as error:
+        # One bad record must not stop every instance, again at each start.
+        return reject(before, offset, f'fold failed: {error!r}')
 
 
 def _trimmed(
--- a/src/bilberryglade/_state/rule_folds.py
+++ b/src/bilberryglade/_state/rule_folds.py
@@ -41,9 +41,7 @@
     record: records.KeyIssued,
 ) -> folding.FoldStep:
     """Adds an API key; neither its id nor its digest may exist."""
-    taken = any(
-        key.key_id == record['key_id'] for key in before.api_keys.values()
-    )
+    taken = record['key_id'] in before.key_digests
     if taken or record['digest'] in before.api_keys:
         reason = f'API key {record["key_id"]} exists'
         return folding.reject(before, offset, reason)
@@ -53,8 +51,11 @@
         digest=record['digest'],
         withdrawn=False,
     )
-    api_keys = before.api_keys.set(api_key.digest, api_key)
-    return folding.accept(before._replace(api_keys=api_keys), offset)
+    changed = before._replace(
+        api_keys=before.api_keys.set(api_key.digest, api_key),
+        key_digests=before.key_digests.set(api_key.key_id, api_key.digest),
+    )
+    return folding.accept(changed, offset)
 
 
 @folding.fold_for('key_withdrawn', records.KeyWithdrawn)
@@ -64,11 +65,10 @@
     record: records.KeyWithdrawn,
 ) -> folding.FoldStep:
     """Withdraws an API key for good."""
-    for digest, api_key in before.api_keys.items():
-        if api_key.key_id != record['key_id']:
-            continue
-        withdrawn = api_key._replace(withdrawn=True)
-        api_keys = before.api_keys.set(digest, withdrawn)
-        return folding.accept(before._replace(api_keys=api_keys), offset)
-    reason = f'no API key {record["key_id"]}'
-    return folding.reject(before, offset, reason)
+    digest = before.key_digests.get(record['key_id'])
+    if digest is None:
+        reason = f'no API key {record["key_id"]}'
+        return folding.reject(before, offset, reason)
+    withdrawn = before.api_keys[digest]._replace(withdrawn=True)
+    api_keys = before.api_keys.set(digest, withdrawn)
+    return folding.accept(before._replace(api_keys=api_keys), offset)
--- a/src/bilberryglade/_state/state.py
+++ b/src/bilberryglade/_state/state.py
@@ -101,6 +101,8 @@
     rules: RulesRevision = RulesRevision()
     #: By digest of the secret.
     api_keys: immutables.Map[str, ApiKey] = immutables.Map()
+    #: Digest of the secret by API key id.
+    key_digests: immutables.Map[str, str] = immutables.Map()
     members: immutables.Map[str, Member] = immutables.Map()
     failure_domains: immutables.Map[str, FailureDomain] = immutables.Map()
     targets: immutables.Map[str, TargetState] = immutables.Map()
--- /dev/null
+++ b/src/bilberryglade/_state/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the folded state."""
--- a/src/bilberryglade_schema/peer.py
+++ b/src/bilberryglade_schema/peer.py
@@ -94,3 +94,69 @@
 
     kind: str
     version: int
+
+
+class RelayedRecord(TypedDict, closed=True):
+    """
+    A record of the control stream with its offset.
+    """
+
+    offset: int
+    record: dict[str, Any]
+
+
+class RecordsAsked(TypedDict):
+    """
+    Asks a peer for the records of the control stream from `start` on; the answer goes to `address`.
+    """
+
+    kind: Literal['records_asked']
+    version: int
+    instance: str
+    address: str
+    sequence: int
+    start: int
+
+
+class RecordsGiven(TypedDict):
+    """
+    Records that a peer has folded, the offset that it is at and the age of that knowledge.
+    """
+
+    kind: Literal['records_given']
+    version: int
+    instance: str
+    sequence: int
+    offset: int
+    age_ms: int
+    records: list[RelayedRecord]
+
+
+class StateAsked(TypedDict):
+    """
+    Asks a peer for its folded state; the answer goes to `address` in parts.
+    """
+
+    kind: Literal['state_asked']
+    version: int
+    instance: str
+    address: str
+    sequence: int
+
+
+class StateGiven(TypedDict):
+    """
+    A part of a peer's folded state at `offset`, and the age of that knowledge.
+    """
+
+    kind: Literal['state_given']
+    version: int
+    instance: str
+    sequence: int
+    offset: int
+    age_ms: int
+    format: int
+    digest: str
+    part: int
+    parts: int
+    body: bytes
--- a/src/bilberryglade_schema/records.py
+++ b/src/bilberryglade_schema/records.py
@@ -173,3 +173,19 @@
     leader: Name
     term: Offset
     entries: list[IntentEntry]
+
+
+class SnapshotChunk(TypedDict, closed=True):
+    """
+    A part of a snapshot of the folded state, in the stream of snapshots. Parts of two writers at one offset and digest are the same.
+    """
+
+    id: RecordId
+    kind: Literal['snapshot_chunk']
+    format: int
+    offset: Offset
+    digest: str
+    part: int
+    parts: int
+    writer: Name
+    body: str
