--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -20,6 +20,7 @@
 from bilberryglade._listing import list_client
 from bilberryglade._log import (
     follower,
+    knowledge,
     log_client,
     log_duties,
     peer_handlers as log_handlers,
@@ -79,11 +80,12 @@
             connectors.TCPConnector(pool_configs={':default': pool}),
         )
         platform = config['platform']
+        timings = config['timings']
         self.log = log_client.LogClient(platform['log_url'], self.http)
         self.snapshots = snapshots.SnapshotStream(self.log, name)
         self.reader = follower.Follower(
             self.log,
-            config['timings']['log_wait_ms'],
+            timings['log_wait_ms'],
             self.snapshots,
         )
         self.writer = recorder.Recorder(self.log, self.reader)
@@ -97,7 +99,7 @@
             name,
             self.reader,
             self.targets,
-            config['timings'],
+            timings,
         )
         self.peers = network.PeerNetwork(
             config['listen']['peers'],
@@ -109,7 +111,7 @@
             self.boot,
             self.reader,
             self.peers,
-            config['timings'],
+            timings,
         )
         self.dispatcher = dispatcher.Dispatcher(
             self.targets,
@@ -129,9 +131,15 @@
             config['listen']['peers'],
             self.reader,
             self.peers,
-            config['timings']['drift_permille'],
+            timings['drift_permille'],
         )
         self.heartbeats.listeners.append(self.relay.hear)
+        self.knowledge = knowledge.Knowledge(
+            name,
+            self.reader,
+            self.heartbeats,
+            timings,
+        )
         self.snapshot_writer = log_duties.SnapshotWriter(
             name,
             self.reader,
--- a/src/bilberryglade/_log/follower.py
+++ b/src/bilberryglade/_log/follower.py
@@ -47,6 +47,8 @@
         #: Offset of the oldest record that the log still keeps.
         self.oldest = 0
         self.random = random.Random()
+        #: Monotonic seconds.
+        self.clock: abc.Callable[[], float] = time.monotonic
 
     @property
     def view(self) -> state.ClusterState:
@@ -59,12 +61,12 @@
 
         The least over the own reads and those that peers relay.
         """
-        return time.monotonic() - self.known.fresh_at
+        return self.clock() - self.known.fresh_at
 
     @property
     def is_ready(self) -> bool:
         """Whether all that was known at the start has been folded."""
-        return intake.is_ready(self.known, time.monotonic())
+        return intake.is_ready(self.known, self.clock())
 
     async def follow(self) -> None:
         """Reads until cancelled."""
@@ -75,7 +77,7 @@
 
     async def read_once(self, wait_ms: int) -> bool:
         """Reads and folds one batch; returns whether the log answered."""
-        asked = intake.ask(self.known, time.monotonic())
+        asked = intake.ask(self.known, self.clock())
         answer = await self.log.read(
             CONTROL_STREAM,
             self.view.offset + 1,
@@ -123,9 +125,9 @@
         seconds: float,
     ) -> state.Verdict | None:
         """Returns the verdict on a record once it was folded, else None."""
-        deadline = time.monotonic() + seconds
+        deadline = self.clock() + seconds
         while record_id not in self.view.verdicts:
-            left = deadline - time.monotonic()
+            left = deadline - self.clock()
             if left <= 0:
                 return None
             await self.wait_for_advance(left)
@@ -141,7 +143,7 @@
                 self.known,
                 stored,
                 intake.NEVER,
-                time.monotonic(),
+                self.clock(),
             ),
         )
         return self.view.offset > before
--- a/src/bilberryglade/_log/knowledge.py
+++ b/src/bilberryglade/_log/knowledge.py
@@ -4,8 +4,12 @@
 import typing
 from collections import abc
 
+from bilberryglade._log import follower
 from bilberryglade._membership import heartbeats
 from bilberryglade._state import state
+from bilberryglade_schema import settings
+
+MILLISECONDS: typing.Final = 1000
 
 
 class Case(enum.StrEnum):
@@ -48,6 +52,9 @@
 
     fresh_seconds: float
     word_seconds: float
+    #: Time that a fresh read takes to reach all instances of its failure
+    #: domain by relay.
+    relay_seconds: float = 0
 
 
 def case(evidence: Evidence, bounds: Bounds, now: float) -> Case:
@@ -75,8 +82,8 @@
     """Returns the monotonic seconds as of which nobody had acted on news.
 
     It is `fresh_at` or, in the case `log_down`, the oldest of the newest
-    words of the other failure domains: each spoke after it was asked, and
-    had read nothing by then.
+    words of the other failure domains, less the time of the relay: each
+    spoke after it was asked, and nobody near it had read anything by then.
     """
     if case(evidence, bounds, now) is not Case.log_down:
         return evidence.fresh_at
@@ -85,7 +92,8 @@
         spoken = newest.get(word.failure_domain, word.asked_at)
         newest[word.failure_domain] = max(spoken, word.asked_at)
     newest.pop(evidence.failure_domain, None)
-    return max(evidence.fresh_at, min(newest.values(), default=now))
+    oldest = min(newest.values(), default=now)
+    return max(evidence.fresh_at, oldest - bounds.relay_seconds)
 
 
 def evidence_of(
@@ -142,3 +150,43 @@
     heard = {word.failure_domain for word in recent}
     heard.add(evidence.failure_domain)
     return evidence.others.keys() - heard
+
+
+class Knowledge:
+    """The case that one instance is in, by its own clock and heartbeats."""
+
+    def __init__(
+        self,
+        instance: str,
+        reader: follower.Follower,
+        signs: heartbeats.Heartbeats,
+        timings: settings.TimingSettings,
+    ) -> None:
+        """Judges what `reader` has read and what `signs` has heard."""
+        self.instance = instance
+        self.reader = reader
+        self.signs = signs
+        self.bounds = Bounds(
+            fresh_seconds=timings['authority_ms'] / MILLISECONDS,
+            word_seconds=timings['suspect_ms'] / MILLISECONDS,
+            relay_seconds=timings['heartbeat_ms'] / MILLISECONDS,
+        )
+
+    def case(self) -> Case:
+        """Returns the case now."""
+        return case(self.evidence(), self.bounds, self.reader.clock())
+
+    def nobody_acted_seconds(self) -> float:
+        """Returns how long ago it is certain that nobody had acted on news."""
+        now = self.reader.clock()
+        return now - nobody_acted_at(self.evidence(), self.bounds, now)
+
+    def evidence(self) -> Evidence:
+        """Returns the evidence of the moment."""
+        known = self.reader.known
+        return evidence_of(
+            known.view,
+            self.instance,
+            known.fresh_at,
+            self.signs.signs.values(),
+        )
--- a/src/bilberryglade/_log/log_duties.py
+++ b/src/bilberryglade/_log/log_duties.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 import typing
 
 import result
@@ -31,7 +30,7 @@
         self.instance = instance
         self.reader = reader
         self.stream = stream
-        self.mark = snapshots.Mark(0, time.monotonic())
+        self.mark = snapshots.Mark(0, reader.clock())
         self.written = 0
 
     async def perform(self) -> None:
@@ -49,9 +48,9 @@
             return
         stored = await self.stream.newest()
         if stored is not None and stored.offset > self.mark.offset:
-            self.mark = snapshots.Mark(stored.offset, time.monotonic())
+            self.mark = snapshots.Mark(stored.offset, self.reader.clock())
         if self._is_due() and await self.stream.write(view):
-            self.mark = snapshots.Mark(view.offset, time.monotonic())
+            self.mark = snapshots.Mark(view.offset, self.reader.clock())
             self.written += 1
 
     def _is_due(self) -> bool:
@@ -59,7 +58,7 @@
             self.reader.view.offset,
             self.mark,
             self.reader.oldest,
-            time.monotonic(),
+            self.reader.clock(),
         )
 
 
@@ -82,12 +81,12 @@
 
     async def wait_until_ready(self) -> None:
         """Returns when the instance is ready; asks peers if the log fails."""
-        asked_at = time.monotonic()
+        asked_at = self.reader.clock()
         while not self.reader.is_ready:
             await self.reader.wait_for_advance(READY_SECONDS)
-            since = time.monotonic() - asked_at
+            since = self.reader.clock() - asked_at
             if self.reader.failures_in_a_row and since >= INTERVAL_SECONDS:
-                asked_at = time.monotonic()
+                asked_at = self.reader.clock()
                 await self.ask_once()
 
     async def ask_once(self) -> None:
--- a/src/bilberryglade/_log/relay.py
+++ b/src/bilberryglade/_log/relay.py
@@ -1,6 +1,5 @@
 """Relays records, whole states and the age of knowledge between instances."""
 
-import time
 import typing
 
 from bilberryglade._log import chunks, follower, intake
@@ -134,7 +133,7 @@
             self.lag,
             is_behind=sign.offset > known.view.offset,
             is_log_failing=self.reader.failures_in_a_row > 0,
-            now=time.monotonic(),
+            now=self.reader.clock(),
         )
         self.lag = decision.lag
         member = known.view.members.get(sign.instance)
@@ -231,13 +230,13 @@
                 self.reader.known,
                 given,
                 known_at(asked_at, message['age_ms'], self.drift_permille),
-                time.monotonic(),
+                self.reader.clock(),
             ),
         )
 
     def _give_parts(self, instance: str, address: str, sequence: int) -> None:
         view = self.reader.view
-        now = time.monotonic()
+        now = self.reader.clock()
         since = now - self.given_at.get(instance, intake.NEVER)
         if not view.offset or since < STATE_SECONDS:
             return
@@ -266,7 +265,7 @@
 
     def _next_question(self) -> int:
         self.sequence += 1
-        self.asked[self.sequence] = time.monotonic()
+        self.asked[self.sequence] = self.reader.clock()
         self._close(self.sequence - MAX_ASKED)
         return self.sequence
 
--- a/src/bilberryglade_lab/matrix/log_fleet.py
+++ b/src/bilberryglade_lab/matrix/log_fleet.py
@@ -37,9 +37,15 @@
         self.found: dict[str, violations.Violation] = {}
 
     def run(self) -> list[violations.Violation]:
-        """Runs with faults, then without, and returns what was found."""
+        """Runs with faults, then without, and returns what was found.
+
+        Where `loss` strikes, in the end every instance is replaced at once.
+        """
         for _ in range(TICKS):
             self._tick()
+        if self.transport.strikes('loss'):
+            for replica in self.replicas:
+                replica.restart()
         self.transport.is_healed = True
         for _ in range(HEALED_TICKS):
             self._tick()
