--- a/src/bilberryglade/_callers/problems.py
+++ b/src/bilberryglade/_callers/problems.py
@@ -22,10 +22,14 @@
         outcomes.Reason.already_tried: 409,
         outcomes.Reason.deadline: 504,
         outcomes.Reason.quarantined: 422,
+        outcomes.Reason.idempotency_key_reused: 422,
     }
 )
 UNAVAILABLE_STATUS: typing.Final = 503
 UNKNOWN_STATUS: typing.Final = 502
+UNKNOWN_STATUSES: typing.Final = types.MappingProxyType(
+    {outcomes.Reason.already_tried: 409},
+)
 
 
 class Problem(typing.TypedDict):
@@ -38,12 +42,16 @@
     run_state: str
 
 
-def refusal(
-    outcome: outcomes.NotRun | outcomes.Unknown,
-) -> responses.Response:
+class Refusal(responses.Response):
+    """A problem document, with the outcome that it tells of."""
+
+    outcome: outcomes.NotRun | outcomes.Unknown
+
+
+def refusal(outcome: outcomes.NotRun | outcomes.Unknown) -> Refusal:
     """Returns the response that tells a caller of `outcome`."""
     is_not_run = isinstance(outcome, outcomes.NotRun)
-    status = UNKNOWN_STATUS
+    status = UNKNOWN_STATUSES.get(outcome.reason, UNKNOWN_STATUS)
     if is_not_run:
         status = STATUSES.get(outcome.reason, UNAVAILABLE_STATUS)
     problem: Problem = {
@@ -56,9 +64,11 @@
     if isinstance(outcome, outcomes.NotRun) and outcome.retry_after_ms:
         seconds = -(-outcome.retry_after_ms // MILLISECONDS)
         headers['retry-after'] = str(seconds)
-    return responses.Response(
+    response = Refusal(
         codec.encode_json(problem),
         status_code=status,
         headers=headers,
         media_type=MEDIA_TYPE,
     )
+    response.outcome = outcome
+    return response
--- a/src/bilberryglade/_log/snapshots.py
+++ b/src/bilberryglade/_log/snapshots.py
@@ -65,20 +65,19 @@
 class SnapshotStream:
     """Writes snapshots to the log and finds the newest whole one."""
 
-    def __init__(self, log: log_client.LogClient, instance: str) -> None:
-        """Writes as `instance`."""
+    def __init__(self, log: log_client.LogClient) -> None:
+        """Talks to `log`."""
         self.log = log
-        self.instance = instance
         self.appended = 0
 
-    async def write(self, view: state.ClusterState) -> bool:
-        """Appends every part; returns whether all of them are in the log.
+    async def write(self, view: state.ClusterState, writer: str) -> bool:
+        """Appends every part as `writer`; returns whether all of them are in the log.
 
         A part whose append gave no clear answer is appended again: copies
         of a part do no harm.
         """
         for part in chunks.split(view):
-            record = chunks.record_of(part, self.instance, uuid.uuid4().hex)
+            record = chunks.record_of(part, writer, uuid.uuid4().hex)
             if not await self._append(dict(record)):
                 return False
         return True
--- a/src/bilberryglade_schema/records.py
+++ b/src/bilberryglade_schema/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, TypeAlias
+from typing import Any, Literal, NotRequired, TypeAlias
 
 from typing_extensions import TypedDict
 
@@ -104,7 +104,7 @@
     address: str
     concurrency: int
     fenced: bool
-    state: Literal['live', 'draining', 'gone']
+    state: Literal['live', 'draining', 'drained', 'gone']
     based_on: Offset
 
 
@@ -163,16 +163,13 @@
     organisation: Name
 
 
-class IntentsRecorded(TypedDict, closed=True):
+class IntentRelease(TypedDict, closed=True):
     """
-    A group commit of intents, in the intent stream of a service.
+    An attempt that was recorded, never ran and never will.
     """
 
-    id: RecordId
-    kind: Literal['intents_recorded']
-    leader: Name
-    term: Offset
-    entries: list[IntentEntry]
+    digest: str
+    record: RecordId
 
 
 class SnapshotChunk(TypedDict, closed=True):
@@ -189,3 +186,16 @@
     parts: int
     writer: Name
     body: str
+
+
+class IntentsRecorded(TypedDict, closed=True):
+    """
+    A group commit of intents and releases, in the intent stream of a service. One with neither marks a place that a reader waits for.
+    """
+
+    id: RecordId
+    kind: Literal['intents_recorded']
+    leader: Name
+    term: Offset
+    entries: list[IntentEntry]
+    released: NotRequired[list[IntentRelease]]
