--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -32,7 +32,6 @@
     peer_handlers as log_handlers,
     recorder,
     relay,
-    snapshots,
 )
 from bilberryglade._membership import (
     heartbeats,
@@ -88,11 +87,9 @@
         platform = config['platform']
         timings = config['timings']
         self.log = log_client.LogClient(platform['log_url'], self.http)
-        self.snapshots = snapshots.SnapshotStream(self.log, name)
         self.reader = follower.Follower(
             self.log,
             timings['log_wait_ms'],
-            self.snapshots,
         )
         self.writer = recorder.Recorder(self.log, self.reader)
         self.targets = client.TargetClient(
@@ -154,11 +151,7 @@
             self.heartbeats,
             timings,
         )
-        self.snapshot_writer = log_duties.SnapshotWriter(
-            name,
-            self.reader,
-            self.snapshots,
-        )
+        self.snapshot_writer = log_duties.SnapshotWriter(name, self.reader)
         listing = list_client.ListClient(platform['list_url'], self.http)
         self.cold_start = log_duties.ColdStart(
             name,
@@ -208,12 +201,23 @@
         )
 
     def is_ready(self) -> bool:
-        """Tells whether callers may be sent here."""
-        return self.reader.is_ready and not self.stopper.is_requested
+        """Tells whether callers may be sent here.
+
+        The record of the join was appended after the start and read back from
+        the fold, so everything before it has been folded too. While the log
+        is down, the newest state of peers takes its place. A process that
+        another one of its name has replaced is not ready any more.
+        """
+        if self.stopper.is_requested or not self.reader.is_ready:
+            return False
+        if self.reader.known.ready_offset is None:
+            return True
+        member = self.reader.view.members.get(self.config['instance'])
+        return member is not None and member.boot == self.boot
 
     def log_case(self) -> str:
         """Names the case that the log is in for this instance."""
-        return str(self.knowledge.case())
+        return self.knowledge.case()
 
     def operations_context(self) -> operations.Context:
         """Returns the parts that operators' operations act on."""
--- a/src/bilberryglade/_log/tests/test_follower.py
+++ b/src/bilberryglade/_log/tests/test_follower.py
@@ -39,13 +39,13 @@
     def setUp(self) -> None:
         """Wires the parts."""
         self.log = fake_log.FakeLogClient()
-        self.stream = snapshots.SnapshotStream(self.log, 'entry-0')
         self.reader = self.new_reader()
+        self.stream = self.reader.snapshot_stream
         self.writer = recorder.Recorder(self.log, self.reader)
 
     def new_reader(self) -> follower.Follower:
         """Returns a follower that knows nothing."""
-        return follower.Follower(self.log, 0, self.stream)
+        return follower.Follower(self.log, 0)
 
     async def issue(self, first: int, last: int) -> None:
         """Appends records past the recorder."""
@@ -61,7 +61,7 @@
         """A reader whose next record has expired restores a snapshot."""
         await self.issue(1, 10)
         await self.reader.read_once(0)
-        self.assertTrue(await self.stream.write(self.reader.view))
+        self.assertTrue(await self.stream.write(self.reader.view, 'entry-0'))
         await self.issue(11, 15)
         self.log.retention = 6
         await self.issue(16, 16)
@@ -143,10 +143,8 @@
         await self.log.append(CONTROL, dict(JOIN), 1)
         await self.issue(1, 6)
         await self.reader.read_once(0)
-        writer = log_duties.SnapshotWriter('entry-0', self.reader, self.stream)
-        stranger = log_duties.SnapshotWriter(
-            'entry-1', self.reader, self.stream
-        )
+        writer = log_duties.SnapshotWriter('entry-0', self.reader)
+        stranger = log_duties.SnapshotWriter('entry-1', self.reader)
         for _ in range(3):
             await stranger.perform_once()
             await writer.perform_once()
@@ -159,10 +157,10 @@
         await self.issue(1, 3)
         await self.reader.read_once(0)
         older = self.reader.view
-        await self.stream.write(older)
+        await self.stream.write(older, 'entry-0')
         await self.issue(4, 90)
         await self.reader.read_once(0)
-        await self.stream.write(self.reader.view)
+        await self.stream.write(self.reader.view, 'entry-0')
         parts = self.log.stream(snapshots.SNAPSHOT_STREAM)
         self.assertGreater(parts.head, 2 * snapshots.TAIL_PARTS)
         self.assertEqual(await self.stream.newest(), self.reader.view)
@@ -174,11 +172,11 @@
         await self.issue(1, 3)
         await self.reader.read_once(0)
         self.log.lose_answers = 2
-        self.assertTrue(await self.stream.write(self.reader.view))
+        self.assertTrue(await self.stream.write(self.reader.view, 'entry-0'))
         self.assertEqual(self.stream.appended, 3)
         self.assertEqual(await self.stream.newest(), self.reader.view)
         self.log.is_down = True
-        self.assertFalse(await self.stream.write(self.reader.view))
+        self.assertFalse(await self.stream.write(self.reader.view, 'entry-0'))
 
     def test_when_one_is_due(self) -> None:
         """By records, by retention and by time."""
--- a/src/bilberryglade/_log/tests/test_relay.py
+++ b/src/bilberryglade/_log/tests/test_relay.py
@@ -15,7 +15,6 @@
     log_duties,
     peer_handlers,
     relay,
-    snapshots,
 )
 from bilberryglade._log.tests import fake_log
 from bilberryglade._membership import heartbeats
@@ -58,8 +57,7 @@
         self, name: str, log: fake_log.FakeLogClient, wire: Wire
     ) -> None:
         """Joins the wire under its name."""
-        stream = snapshots.SnapshotStream(log, name)
-        self.reader = follower.Follower(log, 0, stream)
+        self.reader = follower.Follower(log, 0)
         self.relay = relay.Relay(name, name, self.reader, wire, 10)
         wire.nodes[name] = self
 
