Quarantine of a request that crashes its targets

A request that crashes each target that runs it took one target after another down, since its caller sends it again. Leaders now tell one another which requests a dead target was running; two targets (or three deaths of one) blame a request that ran alone, three targets one that shared them and whose neighbours were not at as many. It is then refused everywhere, as not run, for 60 s of each instance's own clock.

A death needs two signs: an exchange that ended badly, and a target that then refuses connections or says that it is down; a cut-off or frozen target blames nobody. Ruled out: deaths as records (an append for each, in the loss of a failure domain); an end by a later record (its writer may be lost).

--- a/src/bilberryglade/_delivery/delivery.py
+++ b/src/bilberryglade/_delivery/delivery.py
@@ -4,7 +4,13 @@
 import functools
 import time
 
-from bilberryglade._delivery import dispatcher, forwards, once, retry
+from bilberryglade._delivery import (
+    crash_watch,
+    dispatcher,
+    forwards,
+    once,
+    retry,
+)
 from bilberryglade._log import follower
 from bilberryglade._ownership import leases
 from bilberryglade._peers import network
@@ -24,6 +30,7 @@
         local: dispatcher.Dispatcher,
         peers: network.PeerNetwork,
         named: once.Once,
+        watch: crash_watch.CrashWatch,
     ) -> None:
         """Acts as `instance`; `named` runs what callers have named."""
         self.instance = instance
@@ -31,6 +38,7 @@
         self.granter = granter
         self.local = local
         self.named = named
+        self.watch = watch
         self.forwards = forwards.Forwards(
             instance, reader, peers, self.dispatch
         )
@@ -46,6 +54,8 @@
 
         A cancellation ends requests that may be repeated, and no others.
         """
+        if self.watch.refuses(request):
+            return outcomes.NotRun(outcomes.Reason.quarantined)
         self.budget = retry.earn(self.budget)
         attempt = request._replace(slot=elsewhere.home_slot(request))
         tried: list[str] = []
@@ -90,7 +100,14 @@
             return outcomes.NotRun(outcomes.Reason.not_leader)
         if not self.granter.may_dispatch(target.target, request.slot):
             return outcomes.NotRun(outcomes.Reason.no_owner)
-        return await self.local.run(dispatcher.Dispatch(request, target))
+        if self.watch.refuses(request):
+            return outcomes.NotRun(outcomes.Reason.quarantined)
+        dispatch = dispatcher.Dispatch(request, target)
+        return await self.watch.run(
+            request,
+            target,
+            functools.partial(self.local.run, dispatch),
+        )
 
     def _decide(
         self,
--- a/src/bilberryglade/_delivery/peer_handlers.py
+++ b/src/bilberryglade/_delivery/peer_handlers.py
@@ -41,3 +41,9 @@
 def handle_cancel(node: HasDelivery, message: peer.ForwardCancel) -> None:
     """Ends a request whose sender gave up."""
     node.delivery.forwards.take_cancel(message)
+
+
+@handlers.handler_for('target_died', peer.TargetDied)
+def handle_target_died(node: HasDelivery, message: peer.TargetDied) -> None:
+    """Takes in a death that a peer saw."""
+    node.delivery.watch.take_death(message)
--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -11,6 +11,7 @@
 from bilberryglade._admin import application as admin
 from bilberryglade._callers import application as callers
 from bilberryglade._delivery import (
+    crash_watch,
     delivery,
     dispatcher,
     once,
@@ -112,6 +113,14 @@
             tenures.Tenures(name, self.reader, self.granter),
         )
         self.reader.listeners.append(self.named.observe)
+        self.watch = crash_watch.CrashWatch(
+            name,
+            self.reader,
+            self.writer,
+            self.targets,
+            self.peers,
+        )
+        self.reader.listeners.append(self.watch.observe)
         self.delivery = delivery.Delivery(
             name,
             self.reader,
@@ -119,6 +128,7 @@
             self.dispatcher,
             self.peers,
             self.named,
+            self.watch,
         )
         self.reader.listeners.append(self.delivery.forwards.observe)
         self.duties = duties.Duties(
--- a/src/bilberryglade/_targets/client.py
+++ b/src/bilberryglade/_targets/client.py
@@ -15,7 +15,9 @@
 
 CONNECT_SECONDS: typing.Final = 0.5
 GRANT_SECONDS: typing.Final = 0.5
+HEALTH_SECONDS: typing.Final = 0.5
 OK_STATUS: typing.Final = 200
+DOWN_STATUS: typing.Final = 503
 #: Time after which every kept connection to a silent target was closed.
 SILENT_SECONDS: typing.Final = 2 * connections.IDLE_MS / 1000
 #: What the library raises when an exchange comes to no whole answer.
@@ -114,6 +116,28 @@
             return False
         return bool(response.status_code == OK_STATUS)
 
+    async def has_fallen(self, address: str) -> bool:
+        """Tells whether a target refuses connections or says it is down.
+
+        A target that does not answer in time may be cut off or frozen; that
+        is no sign of a fall.
+        """
+        limits = timeout.Timeouts(
+            sock_connect=CONNECT_SECONDS,
+            request_timeout=HEALTH_SECONDS,
+        )
+        try:
+            response = await self.fresh.get(
+                f'http://{address}/-/health',
+                timeouts=limits,
+            )
+            await response.content()
+        except ConnectionRefusedError:
+            return True
+        except BROKEN_EXCHANGE:
+            return False
+        return bool(response.status_code == DOWN_STATUS)
+
     async def close(self) -> None:
         """Closes every connection."""
         await self.kept.aclose()
--- a/src/bilberryglade/_targets/tests/test_client.py
+++ b/src/bilberryglade/_targets/tests/test_client.py
@@ -165,6 +165,25 @@
         self.assertEqual(len(self.target.seen), 4)
 
 
+class FallTest(ClientCase):
+    """What counts as a fall of a target."""
+
+    async def test_signs(self) -> None:
+        """Only a target that says so, or refuses connections, has fallen."""
+        down = b'HTTP/1.1 503 Down\r\ncontent-length: 0\r\n\r\n'
+        cases = (
+            (raw_target.answering(down), True),
+            (raw_target.answering(raw_target.whole(b'{}')), False),
+            (raw_target.answering(b''), False),
+            (_hold, False),
+        )
+        for behaviour, wanted in cases:
+            address = await self.start(behaviour)
+            self.assertEqual(await self.client.has_fallen(address), wanted)
+        await self.target.stop()
+        self.assertTrue(await self.client.has_fallen(address))
+
+
 class OnceTest(ClientCase):
     """A request goes out at most once, over a connection of its own."""
 
--- a/src/bilberryglade_schema/peer.py
+++ b/src/bilberryglade_schema/peer.py
@@ -127,3 +127,16 @@
     version: int
     sender: str
     request_id: str
+
+
+class TargetDied(TypedDict):
+    """
+    A target died; the fingerprints are of the requests that it was running.
+    """
+
+    kind: Literal['target_died']
+    version: int
+    sender: str
+    death_id: str
+    target: str
+    suspects: list[str]
