--- a/src/bilberryglade/_commands/connections.py
+++ b/src/bilberryglade/_commands/connections.py
@@ -25,7 +25,7 @@
 
 
 class Unreachable(typing.NamedTuple):
-    """No instance answered; the operation was not sent."""
+    """No instance answered; nothing was changed."""
 
     detail: str
 
@@ -72,7 +72,7 @@
                 exceptions.BaseTimeout,
                 OSError,
             ) as lost:
-                return result.Err(NoAnswer(_words(lost), key))
+                return result.Err(_lost(operation, _words(lost), key))
         return _decoded(operation, response.status_code, raw, key)
 
     async def follow(
@@ -158,11 +158,20 @@
     decoded: result.Result[typing.Any, codec.DecodeError]
     decoded = codec.decode_json(raw, kind)
     if isinstance(decoded, result.Err):
-        return result.Err(NoAnswer(decoded.err_value.detail, key))
+        return result.Err(_lost(operation, decoded.err_value.detail, key))
     if status == OK_STATUS:
         return result.Ok(decoded.ok_value)
     return result.Err(decoded.ok_value)
 
 
+def _lost(
+    operation: operations.Operation,
+    detail: str,
+    key: str,
+) -> Unreachable | NoAnswer:
+    """Tells a lost answer; an operation that changes nothing was not done."""
+    return NoAnswer(detail, key) if operation.changes else Unreachable(detail)
+
+
 def _words(error: Exception) -> str:
     return str(error) or type(error).__name__
--- a/src/bilberryglade/_commands/tests/captures.py
+++ b/src/bilberryglade/_commands/tests/captures.py
@@ -1,6 +1,7 @@
 """Runs registered commands in this process and keeps what they print."""
 
 import contextlib
+import functools
 import io
 import typing
 
@@ -30,6 +31,11 @@
 
 async def _invoke(argv: tuple[str, ...]) -> typing.Any:
     try:
-        return await cappa.invoke_async(commands.program(), argv=list(argv))
+        return await cappa.invoke_async(_program(), argv=list(argv))
     except SystemExit as ended:
         return ended.code
+
+
+@functools.cache
+def _program() -> cappa.Command[commands.Program]:
+    return commands.program()
