Planned stop of a leader: forwarded requests end; retries are counted

The process now waits 0.3 s for peers to fold the leave and 0.1 s for answers to leave its sockets, which closed without lingering.

--- a/src/bilberryglade/_delivery/delivery.py
+++ b/src/bilberryglade/_delivery/delivery.py
@@ -34,6 +34,8 @@
         self.forwards = forwards.Forwards(
             instance, reader, peers, self.dispatch
         )
+        #: Attempts after the first, since the start.
+        self.retries = 0
         self.budget = retry.Budget()
         #: Work that goes on when its caller has gone.
         self.once: set[asyncio.Task[outcomes.Outcome]] = set()
@@ -60,6 +62,7 @@
             if isinstance(decision, retry.Answer):
                 return decision.outcome
             self.budget = decision.budget
+            self.retries += 1
             await asyncio.sleep(decision.after_seconds)
             attempt = attempt._replace(
                 slot=slot,
--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -45,6 +45,10 @@
 ADMIN_STOP_SECONDS: typing.Final = 1
 #: A peer that hears nothing declares this instance lost.
 LEAVE_SECONDS: typing.Final = 1.0
+#: Peers go on forwarding until they have folded the leave.
+HANDOVER_SECONDS: typing.Final = 0.3
+#: Answers to peers leave the sockets' queues.
+FLUSH_SECONDS: typing.Final = 0.1
 REGISTERED: typing.Final = (
     ownership_folds,
     rule_folds,
@@ -134,6 +138,7 @@
                 name,
                 self.reader,
                 self.dispatcher,
+                self.delivery,
                 self.peers,
                 self.is_ready,
                 self.log_case,
@@ -246,7 +251,9 @@
         if member is not None and member.boot == self.boot:
             record = stopping.leave_record(member)
             await self.writer.commit(record, LEAVE_SECONDS)
+        await asyncio.sleep(HANDOVER_SECONDS)
         await stopping.wait_until(self.dispatcher.is_idle, seconds)
+        await asyncio.sleep(FLUSH_SECONDS)
 
     async def _receive(self) -> None:
         while True:
--- a/src/bilberryglade/_instance/tests/test_manners.py
+++ b/src/bilberryglade/_instance/tests/test_manners.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import random
+import sys
 import unittest
 
 import zmq
@@ -106,6 +107,38 @@
         self.assertEqual(status, 0)
         self.assertEqual(set(self.seen), {200}, self.seen)
 
+    async def test_planned_stop_of_a_leader(self) -> None:
+        """Requests through a peer are answered, or refused as not run.
+
+        Status 502 would say that a request may have run without its answer.
+        """
+        handle = self.deployment.running['entry-0'].handle
+        callers = [
+            asyncio.create_task(self.call_through_peer(number))
+            for number in range(8)
+        ]
+        await asyncio.sleep(0.5)
+        handle.terminate()
+        status = await asyncio.wait_for(handle.wait(), 10)
+        await asyncio.sleep(1)
+        self.seen_unready.set()
+        await asyncio.gather(*callers)
+        sys.stdout.write(f'through a peer: {dict(self.seen)}\n')
+        self.assertEqual(status, 0)
+        self.assertLessEqual(set(self.seen), {200, 503}, self.seen)
+
+    async def call_through_peer(self, number: int) -> None:
+        """Sends requests through the other instance until told to end."""
+        step = 0
+        while not self.seen_unready.is_set():
+            step += 1
+            status, _ = await self.deployment.call(
+                'entry-1',
+                'minders',
+                f'/ledger/child-{number}-{step}',
+            )
+            self.seen[status] += 1
+
     async def test_second_signal_ends_at_once(self) -> None:
         """The second signal does not wait for anything."""
         handle = self.deployment.running['entry-1'].handle
--- a/src/bilberryglade/_observability/readings.py
+++ b/src/bilberryglade/_observability/readings.py
@@ -3,7 +3,7 @@
 import typing
 from collections import abc
 
-from bilberryglade._delivery import dispatcher
+from bilberryglade._delivery import delivery, dispatcher
 from bilberryglade._log import follower
 from bilberryglade._observability import measurements
 from bilberryglade._peers import network
@@ -20,6 +20,7 @@
     instance: str
     reader: follower.Follower
     dispatcher: dispatcher.Dispatcher
+    delivery: delivery.Delivery
     peers: network.PeerNetwork
     is_ready: abc.Callable[[], bool]
     #: Returns the name of the case that the log is in for this instance.
@@ -80,6 +81,12 @@
     return parts.reader.failed_reads
 
 
+@measurements.reading_of('retries', is_counter=True)
+def read_retries(parts: Parts) -> float:
+    """Attempts to run a request after its first."""
+    return parts.delivery.retries
+
+
 def led_targets(view: state.ClusterState, instance: str) -> frozenset[str]:
     """Returns the targets that `instance` leads."""
     return frozenset(
--- a/src/bilberryglade/_observability/tests/test_measurements.py
+++ b/src/bilberryglade/_observability/tests/test_measurements.py
@@ -30,8 +30,15 @@
     )
     waiting: typing.Any = types.SimpleNamespace(waiting_count=lambda: 2)
     peers: typing.Any = types.SimpleNamespace(senders={})
+    delivery: typing.Any = types.SimpleNamespace(retries=4)
     return readings.Parts(
-        'entry-0', reader, waiting, peers, lambda: True, lambda: 'fresh'
+        'entry-0',
+        reader,
+        waiting,
+        delivery,
+        peers,
+        lambda: True,
+        lambda: 'fresh',
     )
 
 
@@ -60,6 +67,7 @@
         for name in names:
             self.assertIn(f'{measurements.NAMESPACE}_{name}', text)
         self.assertIn('bilberryglade_failed_log_reads_total 3.0', text)
+        self.assertIn('bilberryglade_retries_total 4.0', text)
         self.assertIn('bilberryglade_knowledge_age_seconds 3600.0', text)
 
     def test_labels_are_bounded(self) -> None:
