--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -18,6 +18,11 @@
     tenures,
 )
 from bilberryglade._instance import duties, observation, serving, stopping
+from bilberryglade._limits import (
+    peer_handlers as limit_handlers,
+    policies,
+    quotas,
+)
 from bilberryglade._listing import list_client
 from bilberryglade._log import follower, log_client, recorder
 from bilberryglade._membership import (
@@ -55,6 +60,7 @@
     topology_folds,
     peer_handlers,
     membership_handlers,
+    limit_handlers,
 )
 
 
@@ -144,7 +150,24 @@
                 self.log_case,
             ),
         )
-        self.front = callers.CallerFront(self.reader, self.delivery, config)
+        self.quotas = quotas.Quotas(
+            policies.Fleet(
+                instance=name,
+                boot=self.boot,
+                reader=self.reader,
+                peers=self.peers,
+                timings=config['timings'],
+                authority=self.granter,
+            ),
+        )
+        self.reader.listeners.append(self.quotas.follow)
+        self.front = callers.CallerFront(
+            self.reader,
+            self.delivery,
+            self.quotas,
+            self.granter,
+            config,
+        )
         self.admin_front = admin.AdminFront(
             self.operations_context(),
             admin.Probes(self.is_ready, self.observation.metrics.scrape),
@@ -195,6 +218,7 @@
                 self.duties.perform(),
                 self.heartbeats.beat(),
                 self.observation.watch(),
+                self.quotas.keep(),
                 self._receive(),
                 self._join(),
                 admin_server.serve(),
