--- a/src/bilberryglade/_callers/observing.py
+++ b/src/bilberryglade/_callers/observing.py
@@ -55,12 +55,7 @@
     seconds: float,
 ) -> exchanges.Exchange:
     """Returns what an observer is told of a response."""
-    outcome = 'answered'
-    reason = ''
-    if isinstance(response, problems.Refusal):
-        is_not_run = isinstance(response.outcome, outcomes.NotRun)
-        outcome = 'not_run' if is_not_run else 'unknown'
-        reason = str(response.outcome.reason)
+    outcome, reason = _words(response)
     route = matched.route
     return exchanges.Exchange(
         outcome=outcome,
@@ -70,3 +65,14 @@
         repeatable=route is None or route.repeatable,
         seconds=seconds,
     )
+
+
+def _words(response: responses.Response) -> tuple[str, str]:
+    """Returns outcome and reason."""
+    if isinstance(response, problems.Withheld):
+        return 'withheld', str(response.reason)
+    if not isinstance(response, problems.Refusal):
+        return 'answered', ''
+    is_not_run = isinstance(response.outcome, outcomes.NotRun)
+    word = 'not_run' if is_not_run else 'unknown'
+    return word, str(response.outcome.reason)
--- a/src/bilberryglade/_callers/problems.py
+++ b/src/bilberryglade/_callers/problems.py
@@ -51,7 +51,13 @@
     outcome: outcomes.NotRun | outcomes.Unknown
 
 
-def withheld(reason: outcomes.Reason) -> responses.Response:
+class Withheld(responses.Response):
+    """A problem document about a request that ran, with its reason."""
+
+    reason: outcomes.Reason
+
+
+def withheld(reason: outcomes.Reason) -> Withheld:
     """Returns the response to a request that ran but whose answer stays here."""
     problem: Problem = {
         'type': f'urn:bilberryglade:problem:{reason}',
@@ -59,11 +65,13 @@
         'status': WITHHELD_STATUS,
         'run_state': 'ran',
     }
-    return responses.Response(
+    response = Withheld(
         codec.encode_json(problem),
         status_code=WITHHELD_STATUS,
         media_type=MEDIA_TYPE,
     )
+    response.reason = reason
+    return response
 
 
 def refusal(outcome: outcomes.NotRun | outcomes.Unknown) -> Refusal:
--- a/src/bilberryglade/_values/exchanges.py
+++ b/src/bilberryglade/_values/exchanges.py
@@ -7,7 +7,8 @@
 class Exchange(typing.NamedTuple):
     """What became of one request of a caller."""
 
-    #: `answered`, `not_run` or `unknown`.
+    #: `answered`, `not_run`, `unknown`, or `withheld` if the answer came too
+    #: late for its API key.
     outcome: str
     #: Why there is no answer from a target; empty if there is one.
     reason: str
