--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -24,7 +24,16 @@
     quotas,
 )
 from bilberryglade._listing import list_client
-from bilberryglade._log import follower, log_client, recorder
+from bilberryglade._log import (
+    follower,
+    knowledge,
+    log_client,
+    log_duties,
+    peer_handlers as log_handlers,
+    recorder,
+    relay,
+    snapshots,
+)
 from bilberryglade._membership import (
     heartbeats,
     peer_handlers as membership_handlers,
@@ -61,6 +70,7 @@
     peer_handlers,
     membership_handlers,
     limit_handlers,
+    log_handlers,
 )
 
 
@@ -80,10 +90,13 @@
             connectors.TCPConnector(pool_configs={':default': pool}),
         )
         platform = config['platform']
+        timings = config['timings']
         self.log = log_client.LogClient(platform['log_url'], self.http)
+        self.snapshots = snapshots.SnapshotStream(self.log, name)
         self.reader = follower.Follower(
             self.log,
-            config['timings']['log_wait_ms'],
+            timings['log_wait_ms'],
+            self.snapshots,
         )
         self.writer = recorder.Recorder(self.log, self.reader)
         self.targets = client.TargetClient(
@@ -96,7 +109,7 @@
             name,
             self.reader,
             self.targets,
-            config['timings'],
+            timings,
         )
         self.peers = network.PeerNetwork(
             config['listen']['peers'],
@@ -108,7 +121,7 @@
             self.boot,
             self.reader,
             self.peers,
-            config['timings'],
+            timings,
         )
         self.dispatcher = dispatcher.Dispatcher(
             self.targets,
@@ -131,12 +144,38 @@
             self.named,
         )
         self.reader.listeners.append(self.delivery.forwards.observe)
+        self.relay = relay.Relay(
+            name,
+            config['listen']['peers'],
+            self.reader,
+            self.peers,
+            timings['drift_permille'],
+        )
+        self.heartbeats.listeners.append(self.relay.hear)
+        self.knowledge = knowledge.Knowledge(
+            name,
+            self.reader,
+            self.heartbeats,
+            timings,
+        )
+        self.snapshot_writer = log_duties.SnapshotWriter(
+            name,
+            self.reader,
+            self.snapshots,
+        )
+        listing = list_client.ListClient(platform['list_url'], self.http)
+        self.cold_start = log_duties.ColdStart(
+            name,
+            self.reader,
+            listing,
+            self.relay,
+        )
         self.duties = duties.Duties(
             name,
             config['failure_domain'],
             self.reader,
             self.writer,
-            list_client.ListClient(platform['list_url'], self.http),
+            listing,
         )
         self.stopper = stopping.Stopper()
         self.observation = observation.Observation(
@@ -174,19 +213,12 @@
         )
 
     def is_ready(self) -> bool:
-        """Tells whether callers may be sent here.
-
-        The record of the join was appended after the start and read back from
-        the fold, so everything before it has been folded too.
-        """
-        if self.stopper.is_requested:
-            return False
-        member = self.reader.view.members.get(self.config['instance'])
-        return member is not None and member.boot == self.boot
+        """Tells whether callers may be sent here."""
+        return self.reader.is_ready and not self.stopper.is_requested
 
     def log_case(self) -> str:
         """Names the case that the log is in for this instance."""
-        return 'fresh' if self.granter.has_authority else 'not_fresh'
+        return str(self.knowledge.case())
 
     def operations_context(self) -> operations.Context:
         """Returns the parts that operators' operations act on."""
@@ -219,6 +251,8 @@
                 self.heartbeats.beat(),
                 self.observation.watch(),
                 self.quotas.keep(),
+                self.snapshot_writer.perform(),
+                self.cold_start.wait_until_ready(),
                 self._receive(),
                 self._join(),
                 admin_server.serve(),
@@ -267,6 +301,7 @@
         while not self.stopper.is_requested:
             joined = await self.writer.commit(record, JOIN_SECONDS)
             if isinstance(joined, result.Ok):
+                self.reader.require(joined.ok_value.offset)
                 return
 
     async def _leave(self, seconds: int) -> None:
--- a/src/bilberryglade_schema/records.py
+++ b/src/bilberryglade_schema/records.py
@@ -172,6 +172,22 @@
     record: RecordId
 
 
+class SnapshotChunk(TypedDict, closed=True):
+    """
+    A part of a snapshot of the folded state, in the stream of snapshots. Parts of two writers at one offset and digest are the same.
+    """
+
+    id: RecordId
+    kind: Literal['snapshot_chunk']
+    format: int
+    offset: Offset
+    digest: str
+    part: int
+    parts: int
+    writer: Name
+    body: str
+
+
 class IntentsRecorded(TypedDict, closed=True):
     """
     A group commit of intents and releases, in the intent stream of a service. One with neither marks a place that a reader waits for.
