--- a/src/bilberryglade_lab/experiments/__init__.py
+++ b/src/bilberryglade_lab/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements on virtual clocks."""
+"""Experiments on a virtual clock over the pure decisions."""
