--- a/src/bilberryglade/_limits/quotas.py
+++ b/src/bilberryglade/_limits/quotas.py
@@ -25,11 +25,23 @@
 #: Shortest delay of a timer.
 SHORTEST_SECONDS: typing.Final = 0.0005
 
+#: A token that was spent for longer may not be acted on any more.
+FRESH_SECONDS: typing.Final = 0.05
+
 steps.declare('quota.ask', steps.StepKind.message)
 steps.declare('quota.grant', steps.StepKind.message)
 steps.declare('quota.spend_to_forward', steps.StepKind.check_to_act)
 
 
+class Decision(typing.NamedTuple):
+    """What became of a caller's wish for a token."""
+
+    #: None if a token was spent.
+    outcome: outcomes.NotRun | None
+    #: Monotonic seconds.
+    at: float
+
+
 @policies.admission_policies.register('home')
 class Quotas:
     """Admits with tokens of each quota's home, which may be this instance."""
@@ -44,7 +56,7 @@
         )
         self.home = homes.Home(fleet.instance, fleet.boot, spans)
         self.desks: dict[tokens.QuotaName, desks.Desk] = {}
-        self.callers: dict[int, asyncio.Future[outcomes.NotRun | None]] = {}
+        self.callers: dict[int, asyncio.Future[Decision]] = {}
         self.numbers = itertools.count()
         self.timers: dict[tokens.QuotaName, asyncio.TimerHandle] = {}
 
@@ -62,17 +74,17 @@
         name: tokens.QuotaName,
         limit: tokens.Limit,
     ) -> outcomes.NotRun | None:
-        """Returns None if a token was spent for the request."""
-        number = next(self.numbers)
-        answer: asyncio.Future[outcomes.NotRun | None] = asyncio.Future()
-        self.callers[number] = answer
-        step = desks.arrive(self._desk(name), number, limit, time.monotonic())
-        self._perform(name, step)
-        try:
-            return await answer
-        finally:
-            self.callers.pop(number, None)
-            self.desks[name] = desks.withdraw(self._desk(name), number)
+        """Returns None if a token was spent for the request just now.
+
+        After a pause between the spending and its use the token is lost and
+        another is spent, so that what was held up does not come in a bunch.
+        """
+        while True:
+            decision = await self._decide(name, limit)
+            if decision.outcome is not None:
+                return decision.outcome
+            if time.monotonic() - decision.at < FRESH_SECONDS:
+                return None
 
     async def keep(self) -> None:
         """Returns idle tokens, again and again until cancelled."""
@@ -104,6 +116,22 @@
         )
         self._granted(name, grant)
 
+    async def _decide(
+        self,
+        name: tokens.QuotaName,
+        limit: tokens.Limit,
+    ) -> Decision:
+        number = next(self.numbers)
+        answer: asyncio.Future[Decision] = asyncio.Future()
+        self.callers[number] = answer
+        step = desks.arrive(self._desk(name), number, limit, time.monotonic())
+        self._perform(name, step)
+        try:
+            return await answer
+        finally:
+            self.callers.pop(number, None)
+            self.desks[name] = desks.withdraw(self._desk(name), number)
+
     def _desk(self, name: tokens.QuotaName) -> desks.Desk:
         known = self.desks.get(name)
         if known is None:
@@ -157,7 +185,7 @@
     def _resolve(self, number: int, outcome: outcomes.NotRun | None) -> None:
         answer = self.callers.get(number)
         if answer is not None and not answer.done():
-            answer.set_result(outcome)
+            answer.set_result(Decision(outcome, time.monotonic()))
 
     def _send(self, name: tokens.QuotaName, ask: tokens.Ask) -> None:
         view = self.view
--- a/src/bilberryglade_lab/matrix/limits_cases.py
+++ b/src/bilberryglade_lab/matrix/limits_cases.py
@@ -1,5 +1,6 @@
 """Rows of the quota protocol: faults at asks, grants, and spent tokens."""
 
+import asyncio
 import functools
 import random
 import types
@@ -8,6 +9,7 @@
 from bilberryglade._limits import tokens
 from bilberryglade._routing import roles
 from bilberryglade_lab.experiments import limits_model
+from bilberryglade_lab.fakes import quota_entry
 from bilberryglade_lab.matrix import rows
 from bilberryglade_lab.observers import violations
 
@@ -144,6 +146,22 @@
     return judged(fleet)
 
 
+@rows.row(SPEND, 'pause')
+def check_spent_token(seed: int) -> list[violations.Violation]:
+    """A token that was spent before a pause admits nothing after it."""
+    seconds = random.Random(seed).uniform(0.06, 30)
+    return asyncio.run(_spend_over_pause(seconds))
+
+
+async def _spend_over_pause(seconds: float) -> list[violations.Violation]:
+    entry = quota_entry.FakeEntry()
+    admission = await entry.admit_over_pause(seconds)
+    if admission.done():
+        return [violations.Violation('rate_and_burst', 'a stale token')]
+    admission.cancel()
+    return []
+
+
 def _exclude() -> None:
     for irrelevant, cause in IRRELEVANT.items():
         rows.not_applicable(ASK, irrelevant, cause)
--- a/src/bilberryglade_lab/matrix/pending.py
+++ b/src/bilberryglade_lab/matrix/pending.py
@@ -14,6 +14,4 @@
     faults: tuple[str, ...]
 
 
-PENDING: typing.Final[tuple[Pending, ...]] = (
-    Pending('quota.spend_to_forward', ('pause',)),
-)
+PENDING: typing.Final[tuple[Pending, ...]] = ()
