--- a/src/bilberryglade/_callers/application.py
+++ b/src/bilberryglade/_callers/application.py
@@ -49,34 +49,47 @@
 
     async def serve(self, request: requests.Request) -> responses.Response:
         """Answers one request."""
+        raw = _raw(request)
+        caller = intake.identify(self.reader.view, raw.headers)
+        if isinstance(caller, result.Err):
+            return _refuse(caller.err_value)
+        observing.note(request, caller.ok_value.api_key.organisation)
         accepted = intake.accept(
             self.reader.view,
-            _raw(request),
+            caller.ok_value,
+            raw,
             self.config['timings']['request_limit_ms'] / MILLISECONDS,
         )
         if isinstance(accepted, result.Err):
             return _refuse(accepted.err_value)
+        return await self._run(request, accepted.ok_value)
+
+    async def _run(
+        self,
+        request: requests.Request,
+        accepted: intake.Accepted,
+    ) -> responses.Response:
         observing.note(
             request,
-            accepted.ok_value.api_key.organisation,
-            accepted.ok_value.route,
+            accepted.api_key.organisation,
+            accepted.route,
         )
         began = time.monotonic()
         body = await self._body(request)
         if body is None:
             return _refuse(outcomes.Reason.too_large)
-        refusal = await self._admit(accepted.ok_value)
+        refusal = await self._admit(accepted)
         if refusal is not None:
             return problems.refusal(refusal)
         routed = intake.routed(
             self.reader.view,
-            accepted.ok_value,
+            accepted,
             uuid.uuid4().hex,
             body,
             began,
         )
         outcome = await self.deliverer.deliver(routed)
-        return self._response(accepted.ok_value, outcome)
+        return self._response(accepted, outcome)
 
     async def _body(self, request: requests.Request) -> bytes | None:
         limit = self.config['limits']['body_bytes']
--- a/src/bilberryglade/_callers/credentials.py
+++ b/src/bilberryglade/_callers/credentials.py
@@ -11,9 +11,9 @@
 from bilberryglade._state import state
 from bilberryglade._values import outcomes
 
-KEY_HEADERS: typing.Final = frozenset(
-    ('authorization', 'x-api-key', 'proxy-authorization'),
-)
+KEY_HEADERS: typing.Final = frozenset(('authorization', 'x-api-key'))
+#: Headers that no target sees, whatever they carry.
+PRIVATE_HEADERS: typing.Final = KEY_HEADERS | {'proxy-authorization'}
 KEY_PARAMETERS: typing.Final = frozenset(
     ('access-token', 'api-key', 'apikey', 'authorization', 'x-api-key'),
 )
@@ -85,7 +85,7 @@
     return tuple(
         header
         for header in headers
-        if plain_name(header.name) not in KEY_HEADERS
+        if plain_name(header.name) not in PRIVATE_HEADERS
         and not _carries(header, secret)
     )
 
--- a/src/bilberryglade/_callers/intake.py
+++ b/src/bilberryglade/_callers/intake.py
@@ -25,6 +25,13 @@
     headers: tuple[outcomes.Header, ...]
 
 
+class Caller(typing.NamedTuple):
+    """Who sent a request, and the secret that must reach nobody."""
+
+    api_key: state.ApiKey
+    secret: str
+
+
 class Accepted(typing.NamedTuple):
     """A request whose caller, route and name are known."""
 
@@ -37,24 +44,33 @@
     seconds: float
 
 
-def accept(
+def identify(
     view: state.ClusterState,
-    raw: Raw,
-    most_seconds: float,
-) -> result.Result[Accepted, outcomes.Reason]:
-    """Checks key, form, route and name of a request."""
-    secret = credentials.find_secret(raw.headers)
+    headers: tuple[outcomes.Header, ...],
+) -> result.Result[Caller, outcomes.Reason]:
+    """Returns the caller by the one valid API key in `headers`."""
+    secret = credentials.find_secret(headers)
     if isinstance(secret, result.Err):
         return result.Err(secret.err_value)
     api_key = credentials.find_key(view, secret.ok_value)
     if api_key is None:
         return result.Err(outcomes.Reason.no_credentials)
-    if credentials.is_in_line(view, secret.ok_value, raw.path, raw.query):
+    return result.Ok(Caller(api_key, secret.ok_value))
+
+
+def accept(
+    view: state.ClusterState,
+    caller: Caller,
+    raw: Raw,
+    most_seconds: float,
+) -> result.Result[Accepted, outcomes.Reason]:
+    """Checks form, route and name of a request."""
+    if credentials.is_in_line(view, caller.secret, raw.path, raw.query):
         return result.Err(outcomes.Reason.bad_request)
     line = request_line.read_line(*raw)
     if isinstance(line, result.Err):
         return result.Err(line.err_value)
-    return _matched(view, api_key, secret.ok_value, line.ok_value, most_seconds)
+    return _matched(view, caller, line.ok_value, most_seconds)
 
 
 def routed(
@@ -102,12 +118,15 @@
 
 def _matched(
     view: state.ClusterState,
-    api_key: state.ApiKey,
-    secret: str,
+    caller: Caller,
     line: matching.RequestLine,
     most_seconds: float,
 ) -> result.Result[Accepted, outcomes.Reason]:
-    route = matching.match(view.rules.book, api_key.organisation, line)
+    route = matching.match(
+        view.rules.book,
+        caller.api_key.organisation,
+        line,
+    )
     if isinstance(route, result.Err):
         return result.Err(route.err_value)
     if not request_line.is_key_safe(route.ok_value.key):
@@ -115,10 +134,10 @@
     seconds = idempotency.seconds_allowed(line.headers, most_seconds)
     if isinstance(seconds, result.Err):
         return result.Err(seconds.err_value)
-    digest = _digest(api_key.organisation, route.ok_value, line.headers)
+    digest = _digest(caller.api_key.organisation, route.ok_value, line.headers)
     return digest.map(
         lambda name: Accepted(
-            api_key, secret, route.ok_value, line, name, seconds.ok_value
+            *caller, route.ok_value, line, name, seconds.ok_value
         ),
     )
 
