--- a/src/bilberryglade/_routing/roles.py
+++ b/src/bilberryglade/_routing/roles.py
@@ -31,6 +31,11 @@
     return slots.best(f'registrar|{failure_domain}', names)
 
 
+def snapshot_writer(view: state.ClusterState) -> str:
+    """Returns the instance that writes snapshots of the state."""
+    return slots.best('snapshots', view.members)
+
+
 def members_of(view: state.ClusterState, failure_domain: str) -> list[str]:
     """Returns the instances of a failure domain, in alphabetical order."""
     return sorted(
@@ -38,3 +43,12 @@
         for member in view.members.values()
         if member.failure_domain == failure_domain
     )
+
+
+def quota_home(
+    view: state.ClusterState,
+    organisation: str,
+    limit: str,
+) -> str:
+    """Returns the instance that hands out an organisation's tokens."""
+    return slots.best(f'quota|{organisation}|{limit}', view.members)
--- a/src/bilberryglade_schema/peer.py
+++ b/src/bilberryglade_schema/peer.py
@@ -129,6 +129,115 @@
     request_id: str
 
 
+class TokenSettlement(TypedDict):
+    """
+    What became of the tokens of one grant up to now.
+    """
+
+    sequence: int
+    used: int
+    returned: int
+
+
+class TokenAsk(TypedDict):
+    """
+    An entry asks a quota's home for tokens and reports on earlier grants.
+    """
+
+    kind: Literal['token_ask']
+    version: int
+    instance: str
+    boot: str
+    organisation: str
+    limit: str
+    sequence: int
+    needed: int
+    extra: int
+    settled: list[TokenSettlement]
+
+
+class TokenGrant(TypedDict):
+    """
+    The answer to an ask for tokens. Without `confirmed` the giver could not speak as the home.
+    """
+
+    kind: Literal['token_grant']
+    version: int
+    instance: str
+    organisation: str
+    limit: str
+    sequence: int
+    count: int
+    retry_us: int
+    confirmed: bool
+
+
+class RelayedRecord(TypedDict, closed=True):
+    """
+    A record of the control stream with its offset.
+    """
+
+    offset: int
+    record: dict[str, Any]
+
+
+class RecordsAsked(TypedDict):
+    """
+    Asks a peer for the records of the control stream from `start` on; the answer goes to `address`.
+    """
+
+    kind: Literal['records_asked']
+    version: int
+    instance: str
+    address: str
+    sequence: int
+    start: int
+
+
+class RecordsGiven(TypedDict):
+    """
+    Records that a peer has folded, the offset that it is at and the age of that knowledge.
+    """
+
+    kind: Literal['records_given']
+    version: int
+    instance: str
+    sequence: int
+    offset: int
+    age_ms: int
+    records: list[RelayedRecord]
+
+
+class StateAsked(TypedDict):
+    """
+    Asks a peer for its folded state; the answer goes to `address` in parts.
+    """
+
+    kind: Literal['state_asked']
+    version: int
+    instance: str
+    address: str
+    sequence: int
+
+
+class StateGiven(TypedDict):
+    """
+    A part of a peer's folded state at `offset`, and the age of that knowledge.
+    """
+
+    kind: Literal['state_given']
+    version: int
+    instance: str
+    sequence: int
+    offset: int
+    age_ms: int
+    format: int
+    digest: str
+    part: int
+    parts: int
+    body: bytes
+
+
 class TargetDied(TypedDict):
     """
     A target died; the fingerprints are of the requests that it was running.
