--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -263,6 +263,7 @@
                 self.granter.renew(),
                 self.duties.perform(),
                 self.heartbeats.beat(),
+                self.named.follow(),
                 self.observation.watch(),
                 self.quotas.keep(),
                 self.snapshot_writer.perform(),
