--- a/src/bilberryglade/_instance/tests/test_manners.py
+++ b/src/bilberryglade/_instance/tests/test_manners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import json
 import random
 import sys
 import unittest
@@ -60,6 +61,7 @@
         await self.deployment.start()
         self.seen_unready = asyncio.Event()
         self.seen: collections.Counter[object] = collections.Counter()
+        self.reasons: collections.Counter[str] = collections.Counter()
 
     async def call_while_ready(self, number: int) -> None:
         """Sends requests until the balancer has seen that it must not."""
@@ -123,7 +125,9 @@
         await asyncio.sleep(1)
         self.seen_unready.set()
         await asyncio.gather(*callers)
-        sys.stdout.write(f'through a peer: {dict(self.seen)}\n')
+        sys.stdout.write(
+            f'through a peer: {dict(self.seen)} {dict(self.reasons)}\n',
+        )
         self.assertEqual(status, 0)
         self.assertLessEqual(set(self.seen), {200, 503}, self.seen)
 
@@ -132,12 +136,14 @@
         step = 0
         while not self.seen_unready.is_set():
             step += 1
-            status, _ = await self.deployment.call(
+            status, body = await self.deployment.call(
                 'entry-1',
                 'minders',
                 f'/ledger/child-{number}-{step}',
             )
             self.seen[status] += 1
+            if status != 200:
+                self.reasons[json.loads(body)['title']] += 1
 
     async def test_second_signal_ends_at_once(self) -> None:
         """The second signal does not wait for anything."""
