--- a/src/bilberryglade/_log/follower.py
+++ b/src/bilberryglade/_log/follower.py
@@ -28,16 +28,11 @@
 class Follower:
     """Holds the state at the newest offset taken in; it never goes back."""
 
-    def __init__(
-        self,
-        log: log_client.LogClient,
-        wait_ms: int,
-        snapshot_stream: snapshots.SnapshotStream,
-    ) -> None:
+    def __init__(self, log: log_client.LogClient, wait_ms: int) -> None:
         """Reads from `log`; each read waits about `wait_ms` for news."""
         self.log = log
         self.wait_ms = wait_ms
-        self.snapshot_stream = snapshot_stream
+        self.snapshot_stream = snapshots.SnapshotStream(log)
         self.known = intake.Intake()
         self.listeners: list[Listener] = []
         self.advanced = asyncio.Event()
--- a/src/bilberryglade/_log/log_duties.py
+++ b/src/bilberryglade/_log/log_duties.py
@@ -24,12 +24,11 @@
         self,
         instance: str,
         reader: follower.Follower,
-        stream: snapshots.SnapshotStream,
     ) -> None:
         """Acts as `instance`."""
         self.instance = instance
         self.reader = reader
-        self.stream = stream
+        self.stream = reader.snapshot_stream
         self.mark = snapshots.Mark(0, reader.clock())
         self.written = 0
 
@@ -49,7 +48,7 @@
         stored = await self.stream.newest()
         if stored is not None and stored.offset > self.mark.offset:
             self.mark = snapshots.Mark(stored.offset, self.reader.clock())
-        if self._is_due() and await self.stream.write(view):
+        if self._is_due() and await self.stream.write(view, self.instance):
             self.mark = snapshots.Mark(view.offset, self.reader.clock())
             self.written += 1
 
