--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -18,6 +18,11 @@
     tenures,
 )
 from bilberryglade._instance import duties, observation, serving, stopping
+from bilberryglade._limits import (
+    peer_handlers as limit_handlers,
+    policies,
+    quotas,
+)
 from bilberryglade._listing import list_client
 from bilberryglade._log import (
     follower,
@@ -59,6 +64,7 @@
     topology_folds,
     peer_handlers,
     membership_handlers,
+    limit_handlers,
     log_handlers,
 )
 
@@ -171,7 +177,24 @@
                 self.log_case,
             ),
         )
-        self.front = callers.CallerFront(self.reader, self.delivery, config)
+        self.quotas = quotas.Quotas(
+            policies.Fleet(
+                instance=name,
+                boot=self.boot,
+                reader=self.reader,
+                peers=self.peers,
+                timings=timings,
+                authority=self.granter,
+            ),
+        )
+        self.reader.listeners.append(self.quotas.follow)
+        self.front = callers.CallerFront(
+            self.reader,
+            self.delivery,
+            self.quotas,
+            self.granter,
+            config,
+        )
         self.admin_front = admin.AdminFront(
             self.operations_context(),
             admin.Probes(self.is_ready, self.observation.metrics.scrape),
@@ -194,7 +217,7 @@
 
     def log_case(self) -> str:
         """Names the case that the log is in for this instance."""
-        return self.knowledge.case()
+        return str(self.knowledge.case())
 
     def operations_context(self) -> operations.Context:
         """Returns the parts that operators' operations act on."""
@@ -226,10 +249,11 @@
                 self.duties.perform(),
                 self.heartbeats.beat(),
                 self.observation.watch(),
-                self._receive(),
-                self._join(),
+                self.quotas.keep(),
                 self.snapshot_writer.perform(),
                 self.cold_start.wait_until_ready(),
+                self._receive(),
+                self._join(),
                 admin_server.serve(),
             )
         ]
