Log: no busy reads, bounded record ids, rounded ages count as older

A read that brings nothing though the log has more counts as failed and is spaced, so that an answer with a hole is not asked for again at once. Ages in heartbeats are whole milliseconds rounded down; a relayed age now counts one millisecond more. A record id above 64 characters is refused, since ids are remembered.

--- a/src/bilberryglade/_log/follower.py
+++ b/src/bilberryglade/_log/follower.py
@@ -71,7 +71,12 @@
                 await asyncio.sleep(self._retry_seconds())
 
     async def read_once(self, wait_ms: int) -> bool:
-        """Reads and folds one batch; returns whether the log answered."""
+        """Reads and folds one batch; returns whether it was of use.
+
+        It is not if the log failed, if its answer did not join on to what is
+        folded, or if records had expired and no snapshot could be read.
+        """
+        before = self.view.offset
         asked = intake.ask(self.known, self.clock())
         answer = await self.log.read(
             CONTROL_STREAM,
@@ -83,13 +88,15 @@
             self.failed_reads += 1
             self.failures_in_a_row += 1
             return False
-        self.failures_in_a_row = 0
         batch = _batch_of(answer.ok_value)
         self.oldest = batch.oldest
         self.adopt(intake.take_batch(self.known, batch, asked))
         if self.known.has_gap:
-            return await self._restore()
-        return True
+            await self._restore()
+        after = self.view.offset
+        is_stuck = after == before and after < batch.head
+        self.failures_in_a_row = self.failures_in_a_row + 1 if is_stuck else 0
+        return not is_stuck
 
     def adopt(self, known: intake.Intake) -> None:
         """Makes `known` the intake and tells the listeners of a new state."""
@@ -128,11 +135,10 @@
             await self.wait_for_advance(left)
         return self.view.verdicts[record_id]
 
-    async def _restore(self) -> bool:
+    async def _restore(self) -> None:
         stored = await self.snapshot_stream.newest()
         if stored is None:
-            return False
-        before = self.view.offset
+            return
         self.adopt(
             intake.take_state(
                 self.known,
@@ -141,7 +147,6 @@
                 self.clock(),
             ),
         )
-        return self.view.offset > before
 
     def _retry_seconds(self) -> float:
         doublings = min(self.failures_in_a_row, MAX_DOUBLINGS)
--- a/src/bilberryglade/_log/relay.py
+++ b/src/bilberryglade/_log/relay.py
@@ -1,5 +1,6 @@
 """Relays records, whole states and the age of knowledge between instances."""
 
+import math
 import typing
 
 from bilberryglade._log import chunks, follower, intake
@@ -19,6 +20,8 @@
 STATE_SECONDS: typing.Final = 1.0
 MILLISECONDS: typing.Final = 1000
 MAX_AGE_MS: typing.Final = 3_600_000
+#: Ages in messages are whole milliseconds, rounded down.
+ROUNDING_MS: typing.Final = 1
 
 RECORDS_ASKED: typing.Final = steps.declare(
     'relay.records_asked',
@@ -117,6 +120,8 @@
         self.asked: dict[int, float] = {}
         #: Parts of states that are still coming, by question.
         self.incoming: dict[int, dict[int, chunks.Part]] = {}
+        #: Parts of the state that was given last.
+        self.parts: list[chunks.Part] = []
         #: Monotonic seconds of the last state given, by peer.
         self.given_at: dict[str, float] = {}
 
@@ -124,7 +129,7 @@
         """Takes a peer's offset and age; asks for records if it is ahead."""
         as_of = known_at(
             sign.asked_at,
-            int(sign.age_seconds * MILLISECONDS),
+            math.ceil(sign.age_seconds * MILLISECONDS) + ROUNDING_MS,
             self.drift_permille,
         )
         known = intake.hear(self.reader.known, sign.offset, as_of)
@@ -241,7 +246,9 @@
         if not view.offset or since < STATE_SECONDS:
             return
         self.given_at[instance] = now
-        for part in chunks.split(view):
+        if not self.parts or self.parts[0].offset != view.offset:
+            self.parts = chunks.split(view)
+        for part in self.parts:
             self.peers.send(address, self._state_message(part, sequence))
 
     def _state_message(
@@ -275,7 +282,7 @@
 
     def _age_ms(self) -> int:
         age_ms = self.reader.age_seconds * MILLISECONDS
-        return int(min(age_ms, MAX_AGE_MS)) + 1
+        return int(min(age_ms, MAX_AGE_MS)) + ROUNDING_MS
 
 
 def _part_of(message: peer.StateGiven) -> chunks.Part:
--- a/src/bilberryglade/_log/tests/test_follower.py
+++ b/src/bilberryglade/_log/tests/test_follower.py
@@ -72,6 +72,37 @@
         self.assertEqual(late.view, self.reader.view)
         self.assertLess(late.age_seconds, 1)
 
+    async def test_restoring_matters(self) -> None:
+        """Without the restore the same reader never gets on."""
+        await self.issue(1, 10)
+        await self.reader.read_once(0)
+        await self.stream.write(self.reader.view, 'entry-0')
+        self.log.retention = 2
+        await self.issue(11, 11)
+        late = self.new_reader()
+        with mock.patch.object(late, '_restore'):
+            self.assertFalse(await late.read_once(0))
+        self.assertEqual(late.view.offset, 0)
+        self.assertTrue(await late.read_once(0))
+        self.assertEqual(late.view.offset, 10)
+
+    async def test_failures_are_spaced(self) -> None:
+        """Waits between failed reads grow to a bound and differ."""
+        self.log.is_down = True
+        enough = [*(None for _ in range(30)), asyncio.CancelledError]
+        with (
+            mock.patch.object(asyncio, 'sleep', side_effect=enough) as sleep,
+            self.assertRaises(asyncio.CancelledError),
+        ):
+            await self.reader.follow()
+        waits = [call.args[0] for call in sleep.call_args_list]
+        longest = follower.MAX_RETRY_SECONDS
+        self.assertLess(waits[0], waits[5])
+        self.assertTrue(
+            all(longest / 2 <= wait <= longest for wait in waits[5:])
+        )
+        self.assertGreater(len(set(waits[5:])), 20)
+
     async def test_without_snapshot_it_stays_stale(self) -> None:
         """With records expired and no snapshot it never claims to be fresh."""
         self.log.retention = 2
--- a/src/bilberryglade/_operations/tests/fakes.py
+++ b/src/bilberryglade/_operations/tests/fakes.py
@@ -6,7 +6,7 @@
 import result
 
 from bilberryglade._instance import samples
-from bilberryglade._log import follower, log_client, recorder, snapshots
+from bilberryglade._log import follower, log_client, recorder
 from bilberryglade._operations import operations
 from bilberryglade._state import folding, rule_folds, topology_folds
 from bilberryglade_schema import platform, settings
@@ -87,9 +87,7 @@
 ) -> operations.Context:
     """Returns the context of an instance that follows `log`."""
     client = typing.cast(log_client.LogClient, log)
-    reader = follower.Follower(
-        client, 50, snapshots.SnapshotStream(client, 'entry-0')
-    )
+    reader = follower.Follower(client, 50)
     config: settings.InstanceSettings = {
         **samples.SETTINGS,
         'admin': {'token_digest': token_digest},
--- a/src/bilberryglade/_state/folding.py
+++ b/src/bilberryglade/_state/folding.py
@@ -12,6 +12,8 @@
 
 #: Verdicts kept at most; when they are full, the older half is forgotten.
 MAX_VERDICTS: typing.Final = 16_384
+#: Characters of a record id.
+MAX_ID: typing.Final = 64
 
 Record: typing.TypeAlias = dict[str, typing.Any]
 
@@ -80,7 +82,7 @@
     own fold fails change nothing but the offset.
     """
     record_id = record.get('id')
-    if not isinstance(record_id, str) or not record_id:
+    if not isinstance(record_id, str) or not 0 < len(record_id) <= MAX_ID:
         return reject(before._replace(offset=offset), offset, 'no record id')
     known = before.verdicts.get(record_id)
     if known is not None:
--- a/src/bilberryglade/_state/tests/test_folding.py
+++ b/src/bilberryglade/_state/tests/test_folding.py
@@ -64,6 +64,7 @@
         bad: dict[str, folding.Record] = {
             'unknown record kind': {'id': 'bad-1', 'kind': 'weather'},
             'no record id': {'kind': 'key_withdrawn', 'key_id': 'a'},
+            'no record': {**key_withdrawn('a'), 'id': 'x' * 65},
             'Object missing': {'id': 'bad-2', 'kind': 'key_withdrawn'},
             'Expected `str`': {**key_issued('a'), 'key_id': 7},
             'line 1': {
