Log: sizes of kept records are kept, ignored answers are metrics

Answers that lagged, refused records and older states are counters now; the test's stand-still reader gets the intake that they are read from.

--- a/src/bilberryglade/_log/intake.py
+++ b/src/bilberryglade/_log/intake.py
@@ -66,7 +66,10 @@
     peer_state_at: float | None = None
     #: Whether records between `view` and the log's oldest have expired.
     has_gap: bool = False
+    #: Newest records, kept to hand on to peers.
     recent: tuple[Numbered, ...] = ()
+    #: Approximate size of each of them, in bytes.
+    recent_sizes: tuple[int, ...] = ()
     #: How often something was ignored, by reason.
     ignored: immutables.Map[str, int] = immutables.Map()
 
@@ -117,6 +120,7 @@
     after = before._replace(
         view=given,
         recent=(),
+        recent_sizes=(),
         has_gap=False,
         peer_state_at=first_at,
     )
@@ -177,21 +181,22 @@
     if not taken:
         return before
     counted = before.ignored.get('rejected_record', 0) + rejected
-    return before._replace(
+    return _keep(before, taken)._replace(
         view=view,
-        recent=_newest((*before.recent, *taken)),
         ignored=before.ignored.set('rejected_record', counted),
     )
 
 
-def _newest(records: tuple[Numbered, ...]) -> tuple[Numbered, ...]:
-    kept = records[-MAX_RECENT:]
-    room = MAX_RECENT_BYTES
-    for index in range(len(kept) - 1, -1, -1):
-        room -= _size(kept[index].record)
-        if room < 0:
-            return kept[index + 1 :]
-    return kept
+def _keep(before: Intake, taken: list[Numbered]) -> Intake:
+    records = (*before.recent, *taken)
+    new_sizes = [_size(numbered.record) for numbered in taken]
+    sizes = (*before.recent_sizes, *new_sizes)
+    first = max(len(records) - MAX_RECENT, 0)
+    surplus = sum(sizes[first:]) - MAX_RECENT_BYTES
+    while surplus > 0:
+        surplus -= sizes[first]
+        first += 1
+    return before._replace(recent=records[first:], recent_sizes=sizes[first:])
 
 
 def _size(record: folding.Record) -> int:
--- a/src/bilberryglade/_observability/readings.py
+++ b/src/bilberryglade/_observability/readings.py
@@ -80,6 +80,24 @@
     return parts.reader.failed_reads
 
 
+@measurements.reading_of('stale_log_reads', is_counter=True)
+def read_stale_reads(parts: Parts) -> float:
+    """Answers of the log that lagged behind what was known already."""
+    return parts.reader.known.ignored.get('stale_read', 0)
+
+
+@measurements.reading_of('rejected_records', is_counter=True)
+def read_rejected_records(parts: Parts) -> float:
+    """Records that the fold refused: lost races and malformed ones."""
+    return parts.reader.known.ignored.get('rejected_record', 0)
+
+
+@measurements.reading_of('old_states', is_counter=True)
+def read_old_states(parts: Parts) -> float:
+    """Snapshots and states of peers that were older than the own."""
+    return parts.reader.known.ignored.get('old_state', 0)
+
+
 def led_targets(view: state.ClusterState, instance: str) -> frozenset[str]:
     """Returns the targets that `instance` leads."""
     return frozenset(
--- a/src/bilberryglade/_observability/tests/test_measurements.py
+++ b/src/bilberryglade/_observability/tests/test_measurements.py
@@ -8,6 +8,7 @@
 
 import loguru
 
+from bilberryglade._log import intake
 from bilberryglade._observability import (
     changes,
     exchanges,
@@ -26,7 +27,10 @@
 def parts_of(view: state.ClusterState) -> readings.Parts:
     """Returns parts that stand still."""
     reader: typing.Any = types.SimpleNamespace(
-        view=view, age_seconds=float('inf'), failed_reads=3
+        view=view,
+        age_seconds=float('inf'),
+        failed_reads=3,
+        known=intake.ignore(intake.Intake(), 'stale_read'),
     )
     waiting: typing.Any = types.SimpleNamespace(waiting_count=lambda: 2)
     peers: typing.Any = types.SimpleNamespace(senders={})
@@ -60,6 +64,7 @@
         for name in names:
             self.assertIn(f'{measurements.NAMESPACE}_{name}', text)
         self.assertIn('bilberryglade_failed_log_reads_total 3.0', text)
+        self.assertIn('bilberryglade_stale_log_reads_total 1.0', text)
         self.assertIn('bilberryglade_knowledge_age_seconds 3600.0', text)
 
     def test_labels_are_bounded(self) -> None:
