--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -11,6 +11,7 @@
 from bilberryglade._admin import application as admin
 from bilberryglade._callers import application as callers
 from bilberryglade._delivery import (
+    crash_watch,
     delivery,
     dispatcher,
     once,
@@ -58,6 +59,10 @@
 ADMIN_STOP_SECONDS: typing.Final = 1
 #: A peer that hears nothing declares this instance lost.
 LEAVE_SECONDS: typing.Final = 1.0
+#: Peers go on forwarding until they have folded the leave.
+HANDOVER_SECONDS: typing.Final = 0.3
+#: Answers to peers leave the sockets' queues.
+FLUSH_SECONDS: typing.Final = 0.1
 REGISTERED: typing.Final = (
     ownership_folds,
     rule_folds,
@@ -128,6 +133,14 @@
             tenures.Tenures(name, self.reader, self.granter),
         )
         self.reader.listeners.append(self.named.observe)
+        self.watch = crash_watch.CrashWatch(
+            name,
+            self.reader,
+            self.writer,
+            self.targets,
+            self.peers,
+        )
+        self.reader.listeners.append(self.watch.observe)
         self.delivery = delivery.Delivery(
             name,
             self.reader,
@@ -135,6 +148,7 @@
             self.dispatcher,
             self.peers,
             self.named,
+            self.watch,
         )
         self.reader.listeners.append(self.delivery.forwards.observe)
         self.relay = relay.Relay(
@@ -172,6 +186,7 @@
                 name,
                 self.reader,
                 self.dispatcher,
+                self.delivery,
                 self.peers,
                 self.is_ready,
                 self.log_case,
@@ -217,7 +232,7 @@
 
     def log_case(self) -> str:
         """Names the case that the log is in for this instance."""
-        return str(self.knowledge.case())
+        return self.knowledge.case()
 
     def operations_context(self) -> operations.Context:
         """Returns the parts that operators' operations act on."""
@@ -309,7 +324,9 @@
         if member is not None and member.boot == self.boot:
             record = stopping.leave_record(member)
             await self.writer.commit(record, LEAVE_SECONDS)
+        await asyncio.sleep(HANDOVER_SECONDS)
         await stopping.wait_until(self.dispatcher.is_idle, seconds)
+        await asyncio.sleep(FLUSH_SECONDS)
 
     async def _receive(self) -> None:
         while True:
