--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -198,7 +198,7 @@
                 boot=self.boot,
                 reader=self.reader,
                 peers=self.peers,
-                timings=config['timings'],
+                timings=timings,
                 authority=self.granter,
             ),
         )
