--- a/src/bilberryglade/_callers/problems.py
+++ b/src/bilberryglade/_callers/problems.py
@@ -24,10 +24,14 @@
         outcomes.Reason.already_tried: 409,
         outcomes.Reason.deadline: 504,
         outcomes.Reason.quarantined: 422,
+        outcomes.Reason.idempotency_key_reused: 422,
     }
 )
 UNAVAILABLE_STATUS: typing.Final = 503
 UNKNOWN_STATUS: typing.Final = 502
+UNKNOWN_STATUSES: typing.Final = types.MappingProxyType(
+    {outcomes.Reason.already_tried: 409},
+)
 WITHHELD_STATUS: typing.Final = 401
 
 
@@ -41,6 +45,12 @@
     run_state: str
 
 
+class Refusal(responses.Response):
+    """A problem document, with the outcome that it tells of."""
+
+    outcome: outcomes.NotRun | outcomes.Unknown
+
+
 def withheld(reason: outcomes.Reason) -> responses.Response:
     """Returns the response to a request that ran but whose answer stays here."""
     problem: Problem = {
@@ -56,16 +66,10 @@
     )
 
 
-class Refusal(responses.Response):
-    """A problem document, with the outcome that it tells of."""
-
-    outcome: outcomes.NotRun | outcomes.Unknown
-
-
 def refusal(outcome: outcomes.NotRun | outcomes.Unknown) -> Refusal:
     """Returns the response that tells a caller of `outcome`."""
     is_not_run = isinstance(outcome, outcomes.NotRun)
-    status = UNKNOWN_STATUS
+    status = UNKNOWN_STATUSES.get(outcome.reason, UNKNOWN_STATUS)
     if is_not_run:
         status = STATUSES.get(outcome.reason, UNAVAILABLE_STATUS)
     problem: Problem = {
--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -10,7 +10,13 @@
 
 from bilberryglade._admin import application as admin
 from bilberryglade._callers import application as callers
-from bilberryglade._delivery import delivery, dispatcher, peer_handlers
+from bilberryglade._delivery import (
+    delivery,
+    dispatcher,
+    once,
+    peer_handlers,
+    tenures,
+)
 from bilberryglade._instance import duties, observation, serving, stopping
 from bilberryglade._limits import (
     peer_handlers as limit_handlers,
@@ -106,13 +112,21 @@
             config['limits']['queue_length'],
         )
         self.reader.listeners.append(self.dispatcher.observe)
+        self.named = once.Once(
+            name,
+            self.log,
+            tenures.Tenures(name, self.reader, self.granter),
+        )
+        self.reader.listeners.append(self.named.observe)
         self.delivery = delivery.Delivery(
             name,
             self.reader,
             self.granter,
             self.dispatcher,
             self.peers,
+            self.named,
         )
+        self.reader.listeners.append(self.delivery.forwards.observe)
         self.duties = duties.Duties(
             name,
             config['failure_domain'],
@@ -120,17 +134,6 @@
             self.writer,
             list_client.ListClient(platform['list_url'], self.http),
         )
-        self.quotas = quotas.Quotas(
-            policies.Fleet(
-                instance=name,
-                boot=self.boot,
-                reader=self.reader,
-                peers=self.peers,
-                timings=config['timings'],
-                authority=self.granter,
-            ),
-        )
-        self.reader.listeners.append(self.quotas.follow)
         self.stopper = stopping.Stopper()
         self.observation = observation.Observation(
             readings.Parts(
@@ -142,6 +145,17 @@
                 self.log_case,
             ),
         )
+        self.quotas = quotas.Quotas(
+            policies.Fleet(
+                instance=name,
+                boot=self.boot,
+                reader=self.reader,
+                peers=self.peers,
+                timings=config['timings'],
+                authority=self.granter,
+            ),
+        )
+        self.reader.listeners.append(self.quotas.follow)
         self.front = callers.CallerFront(
             self.reader,
             self.delivery,
@@ -198,8 +212,8 @@
                 self.granter.renew(),
                 self.duties.perform(),
                 self.heartbeats.beat(),
-                self.quotas.keep(),
                 self.observation.watch(),
+                self.quotas.keep(),
                 self._receive(),
                 self._join(),
                 admin_server.serve(),
--- a/src/bilberryglade_schema/peer.py
+++ b/src/bilberryglade_schema/peer.py
@@ -96,6 +96,39 @@
     version: int
 
 
+class ForwardAccepted(TypedDict):
+    """
+    The leader has a forward and can run it.
+    """
+
+    kind: Literal['forward_accepted']
+    version: int
+    sender: str
+    request_id: str
+
+
+class ForwardProceed(TypedDict):
+    """
+    The sender of an accepted forward still waits - run it.
+    """
+
+    kind: Literal['forward_proceed']
+    version: int
+    sender: str
+    request_id: str
+
+
+class ForwardCancel(TypedDict):
+    """
+    The sender of a forward has given up.
+    """
+
+    kind: Literal['forward_cancel']
+    version: int
+    sender: str
+    request_id: str
+
+
 class TokenSettlement(TypedDict):
     """
     What became of the tokens of one grant up to now.
