A quota home that moves as planned hands its buckets over

An instance that joins becomes the home of its part of the quotas; they were refused for 1.2 s, though the old home was alive and knew its buckets. It now hands over level and outstanding tokens under the offset of the change. The new home believes it for that very offset alone; without it, it waits as before.

Row of the matrix: the home moves three times under two faults each.

--- a/src/bilberryglade/_limits/home.py
+++ b/src/bilberryglade/_limits/home.py
@@ -1,8 +1,9 @@
 """The quota home: the one instance that hands out a quota's tokens.
 
-The home of a quota follows from the members in the log. A new home begins
-with empty buckets, and only after its predecessor's authority and the last
-token that it gave have certainly ended.
+The home of a quota follows from the members in the log. A new home takes over
+the bucket that its predecessor hands over. Without one it begins with an empty
+bucket, and only after its predecessor's authority and the last token that it
+gave have certainly ended.
 """
 
 import typing
@@ -39,6 +40,14 @@
         return (self.authority + self.token) * (1 + self.drift)
 
 
+class Received(typing.NamedTuple):
+    """A handover and when it came."""
+
+    handover: tokens.Handover
+    #: Monotonic seconds.
+    at: float
+
+
 class Home(typing.NamedTuple):
     """All quotas that an instance is the home of."""
 
@@ -52,6 +61,7 @@
     buckets: immutables.Map[tokens.QuotaName, bucketing.Bucket] = (
         immutables.Map()
     )
+    handed: immutables.Map[tokens.QuotaName, Received] = immutables.Map()
 
 
 class Answered(typing.NamedTuple):
@@ -61,29 +71,48 @@
     grant: tokens.Grant
 
 
-def observe(home: Home, view: state.ClusterState, now: float) -> Home:
+class Observed(typing.NamedTuple):
+    """The home after a change, and what it hands over to other instances."""
+
+    home: Home
+    handovers: tuple[tokens.Handover, ...] = ()
+
+
+def observe(home: Home, view: state.ClusterState, now: float) -> Observed:
     """Follows the members; buckets whose home may have changed are dropped.
 
     A batch of records that changed the topology may hide a member that came
-    and went, so only a single record leaves buckets as they are.
+    and went, so only a single record leaves buckets as they are, or hands
+    them over.
     """
     before = home.view
     if view.topology_changed_at == before.topology_changed_at:
-        return home._replace(view=view)
-    home = home._replace(view=view)
-    if not _is_member(home):
-        return home._replace(since=float('inf'), buckets=immutables.Map())
-    if view.offset > before.offset + 1:
-        return home._replace(since=now, buckets=immutables.Map())
+        return Observed(home._replace(view=view))
+    moved = home._replace(view=view, buckets=immutables.Map(), since=now)
+    if view.offset > before.offset + 1 or not _is_member(home):
+        return Observed(_without_outsider(moved))
     if view.members == before.members:
-        return home
+        return Observed(home._replace(view=view))
     kept = {
         name: bucket
         for name, bucket in home.buckets.items()
-        if roles.quota_home(before, *name) == home.instance
-        and roles.quota_home(view, *name) == home.instance
+        if is_home(moved, name)
     }
-    return home._replace(since=now, buckets=immutables.Map(kept))
+    handovers = tuple(
+        tokens.Handover(
+            name, view.topology_changed_at, bucket.level, bucket.given
+        )
+        for name, bucket in home.buckets.items()
+        if name not in kept
+    )
+    moved = moved._replace(buckets=immutables.Map(kept))
+    return Observed(_without_outsider(moved), handovers)
+
+
+def receive(home: Home, handover: tokens.Handover, now: float) -> Home:
+    """Keeps a handover; it counts once the log says the same."""
+    received = Received(handover, now)
+    return home._replace(handed=home.handed.set(handover.name, received))
 
 
 def answer(
@@ -101,9 +130,11 @@
     if not authority or not is_home(home, name):
         return _nothing(home, ask, UNAVAILABLE_SECONDS)
     opens_at = home.since + home.spans.succession
-    if name not in home.buckets and now < opens_at:
+    bucket = _bucket_of(home, name)
+    if bucket is None and now < opens_at:
         return _nothing(home, ask, opens_at - now)
-    bucket = home.buckets.get(name, bucketing.Bucket(0, opens_at))
+    if bucket is None:
+        bucket = bucketing.Bucket(0, opens_at)
     bucket = bucketing.refill(bucket, limit, now)
     for settled in ask.settled:
         bucket = bucketing.settle(bucket, ask.entry, settled)
@@ -126,6 +157,39 @@
     return roles.quota_home(home.view, *name) == home.instance
 
 
+def _bucket_of(
+    home: Home,
+    name: tokens.QuotaName,
+) -> bucketing.Bucket | None:
+    """Returns the bucket that is kept, or the one that was handed over.
+
+    Tokens that the old home gave are held as given for as long as any entry
+    may spend them.
+    """
+    received = home.handed.get(name)
+    if name in home.buckets or received is None:
+        return home.buckets.get(name)
+    handover = received.handover
+    if handover.term != home.view.topology_changed_at:
+        return None
+    given = bucketing.Outstanding(
+        handover.given, 0, received.at + home.spans.token_at_home
+    )
+    unnamed = bucketing.GrantName('', handover.term)
+    return bucketing.Bucket(
+        handover.level,
+        received.at,
+        immutables.Map({unnamed: given}),
+        handover.given,
+    )
+
+
+def _without_outsider(home: Home) -> Home:
+    if _is_member(home):
+        return home
+    return home._replace(since=float('inf'), buckets=immutables.Map())
+
+
 def _is_member(home: Home) -> bool:
     member = home.view.members.get(home.instance)
     return member is not None and member.boot == home.boot
--- a/src/bilberryglade/_limits/peer_handlers.py
+++ b/src/bilberryglade/_limits/peer_handlers.py
@@ -23,3 +23,12 @@
 def handle_token_grant(node: HasQuotas, message: peer.TokenGrant) -> None:
     """Takes the tokens that a home gave."""
     node.quotas.take_grant(message)
+
+
+@handlers.handler_for('quota_handover', peer.QuotaHandover)
+def handle_quota_handover(
+    node: HasQuotas,
+    message: peer.QuotaHandover,
+) -> None:
+    """Takes what an old home hands over."""
+    node.quotas.take_handover(message)
--- a/src/bilberryglade/_limits/quotas.py
+++ b/src/bilberryglade/_limits/quotas.py
@@ -30,6 +30,7 @@
 
 steps.declare('quota.ask', steps.StepKind.message)
 steps.declare('quota.grant', steps.StepKind.message)
+steps.declare('quota.handover', steps.StepKind.message)
 steps.declare('quota.spend_to_forward', steps.StepKind.check_to_act)
 
 
@@ -66,8 +67,24 @@
         return self.fleet.reader.view
 
     def follow(self, view: state.ClusterState) -> None:
-        """Takes note of a new state of the log."""
-        self.home = homes.observe(self.home, view, time.monotonic())
+        """Takes note of a new state of the log; hands over moved quotas."""
+        observed = homes.observe(self.home, view, time.monotonic())
+        self.home = observed.home
+        for handover in observed.handovers:
+            member = view.members.get(roles.quota_home(view, *handover.name))
+            if member is not None:
+                message = _handover_message(self.fleet.instance, handover)
+                self.fleet.peers.send(member.peer_address, message)
+
+    def take_handover(self, message: peer.QuotaHandover) -> None:
+        """Takes what an old home hands over."""
+        handover = tokens.Handover(
+            tokens.QuotaName(message['organisation'], message['limit']),
+            message['term'],
+            message['level'],
+            message['given'],
+        )
+        self.home = homes.receive(self.home, handover, time.monotonic())
 
     async def admit(
         self,
@@ -158,8 +175,8 @@
         limit = limits.find_limit(view.rules.book, name)
         if limit is None:
             return tokens.Grant(ask.sequence, 0, 1.0)
+        self.follow(view)
         now = time.monotonic()
-        self.home = homes.observe(self.home, view, now)
         answered = homes.answer(
             self.home,
             name,
@@ -268,3 +285,19 @@
         'retry_us': int(grant.retry_seconds * MILLISECONDS * MILLISECONDS),
         'confirmed': grant.confirmed,
     }
+
+
+def _handover_message(
+    instance: str,
+    handover: tokens.Handover,
+) -> peer.QuotaHandover:
+    return {
+        'kind': 'quota_handover',
+        'version': handlers.VERSION,
+        'instance': instance,
+        'organisation': handover.name.organisation,
+        'limit': handover.name.limit,
+        'term': handover.term,
+        'level': handover.level,
+        'given': handover.given,
+    }
--- a/src/bilberryglade/_limits/tokens.py
+++ b/src/bilberryglade/_limits/tokens.py
@@ -57,3 +57,14 @@
     retry_seconds: float = 0
     #: Whether the giver spoke as the quota's home; else it knows of no token.
     confirmed: bool = True
+
+
+class Handover(typing.NamedTuple):
+    """An old home's last word on a quota, for the home that follows it."""
+
+    name: QuotaName
+    #: Offset of the change of the topology by which the home moved.
+    term: int
+    level: float
+    #: Tokens in the hands of entries.
+    given: int
--- a/src/bilberryglade_lab/experiments/limits_model.py
+++ b/src/bilberryglade_lab/experiments/limits_model.py
@@ -60,6 +60,10 @@
         #: When each desk is to be woken.
         self.timers: dict[tokens.QuotaName, float] = {}
 
+    def local(self, now: float) -> float:
+        """Returns the time on this instance's own clock."""
+        return now * self.speed
+
     def has_authority(self, local: float) -> bool:
         """Tells whether the newest read is young enough."""
         return local - self.read_at < SPANS.authority
@@ -124,7 +128,43 @@
             action()
 
 
-class Model(Agenda):
+class Network(Agenda):
+    """Carries messages between instances, late, twice, or not at all."""
+
+    def __init__(self, seed: int, link: Link) -> None:
+        """Draws delays and losses by `seed`."""
+        super().__init__()
+        self.random = random.Random(seed)  # noqa: S311
+        self.asks = link
+        self.grants = link
+        self.handovers = link
+        #: Senders and receivers that lose each other's messages.
+        self.cuts: set[tuple[str, str]] = set()
+
+    def _carry(
+        self,
+        sender: Instance,
+        receiver: Instance,
+        link: Link,
+        action: abc.Callable[[], None],
+    ) -> None:
+        if (sender.name, receiver.name) in self.cuts:
+            return
+        copies = 1 + (self.random.random() < link.duplication)
+        for _ in range(copies):
+            if self.random.random() < link.loss:
+                continue
+            delay = link.latency_seconds
+            delay += self.random.random() * link.jitter_seconds
+            if self.random.random() < link.late:
+                delay += self.random.random() * link.late_seconds
+            self.at(
+                self.now + delay,
+                functools.partial(self._when_awake, receiver, action),
+            )
+
+
+class Model(Network):
     """A fleet, its network, its log, and the callers' record."""
 
     def __init__(
@@ -135,17 +175,11 @@
         link: Link = Link(),  # noqa: B008, WPS404
     ) -> None:
         """Starts at time 0 without instances."""
-        self.random = random.Random(seed)  # noqa: S311
+        super().__init__(seed, link)
         self.limits = limits
         self.policy = policy
-        #: Links of asks and of grants.
-        self.asks = link
-        self.grants = link
-        super().__init__()
         self.log = state.ClusterState()
         self.instances: dict[str, Instance] = {}
-        #: Senders and receivers that lose each other's messages.
-        self.cuts: set[tuple[str, str]] = set()
         self.events: list[limits_observer.Event] = []
 
     def join(self, name: str, speed: float = 1) -> None:
@@ -192,18 +226,31 @@
         if not node.reads_log:
             return
         node.view = self.log
-        node.read_at = self._local(node)
-        node.home = homes.observe(node.home, node.view, node.read_at)
+        node.read_at = node.local(self.now)
+        observed = homes.observe(node.home, node.view, node.read_at)
+        node.home = observed.home
+        for handover in observed.handovers:
+            self._hand_over(node, handover)
+
+    def _hand_over(self, node: Instance, handover: tokens.Handover) -> None:
+        home = self.instances.get(roles.quota_home(node.view, *handover.name))
+        if home is not None:
+            self._carry(
+                node,
+                home,
+                self.handovers,
+                functools.partial(self._handed, home, handover),
+            )
 
-    def _local(self, node: Instance) -> float:
-        return self.now * node.speed
+    def _handed(self, home: Instance, handover: tokens.Handover) -> None:
+        home.home = homes.receive(home.home, handover, home.local(self.now))
 
     def _arrived(self, node: Instance, quota: tokens.QuotaName) -> None:
         limit = self.limits[quota]
         if self.policy == 'static':
             members = max(len(node.view.members), 1)
             spent = static.spend(
-                node.shares.get(quota), limit, members, self._local(node)
+                node.shares.get(quota), limit, members, node.local(self.now)
             )
             node.shares[quota] = spent.share
             self.events.append(
@@ -212,7 +259,7 @@
             return
         desk = self._desk(node, quota)
         self._perform(
-            node, quota, desks.arrive(desk, 0, limit, self._local(node))
+            node, quota, desks.arrive(desk, 0, limit, node.local(self.now))
         )
 
     def _tick_all(self, node: Instance) -> None:
@@ -222,7 +269,7 @@
     def _tick(self, node: Instance, quota: tokens.QuotaName) -> None:
         if not node.alive:
             return
-        step = desks.tick(node.desks[quota], self._local(node))
+        step = desks.tick(node.desks[quota], node.local(self.now))
         self._perform(node, quota, step)
 
     def _perform(
@@ -289,7 +336,7 @@
         quota: tokens.QuotaName,
         ask: tokens.Ask,
     ) -> None:
-        local = self._local(home)
+        local = home.local(self.now)
         answered = homes.answer(
             home.home,
             quota,
@@ -319,32 +366,10 @@
             self._desk(node, quota),
             grant,
             self.limits[quota],
-            self._local(node),
+            node.local(self.now),
         )
         self._perform(node, quota, step)
 
     def _desk(self, node: Instance, quota: tokens.QuotaName) -> desks.Desk:
         fresh = holding.Holding(node.boot, SPANS.token)
         return node.desks.get(quota, desks.Desk(fresh))
-
-    def _carry(
-        self,
-        sender: Instance,
-        receiver: Instance,
-        link: Link,
-        action: abc.Callable[[], None],
-    ) -> None:
-        if (sender.name, receiver.name) in self.cuts:
-            return
-        copies = 1 + (self.random.random() < link.duplication)
-        for _ in range(copies):
-            if self.random.random() < link.loss:
-                continue
-            delay = link.latency_seconds
-            delay += self.random.random() * link.jitter_seconds
-            if self.random.random() < link.late:
-                delay += self.random.random() * link.late_seconds
-            self.at(
-                self.now + delay,
-                functools.partial(self._when_awake, receiver, action),
-            )
--- a/src/bilberryglade_lab/matrix/limits_cases.py
+++ b/src/bilberryglade_lab/matrix/limits_cases.py
@@ -15,6 +15,7 @@
 
 ASK: typing.Final = 'quota.ask'
 GRANT: typing.Final = 'quota.grant'
+HANDOVER: typing.Final = 'quota.handover'
 SPEND: typing.Final = 'quota.spend_to_forward'
 QUOTA: typing.Final = tokens.QuotaName('press', 'allow|listing')
 LIMIT: typing.Final = tokens.Limit(rate=40, burst=6)
@@ -146,6 +147,21 @@
     return judged(fleet)
 
 
+@rows.row(HANDOVER, *FAULTS)
+def check_handovers(seed: int) -> list[violations.Violation]:
+    """Moves the home by a join, and strikes the handover and its ends."""
+    chance = random.Random(seed)
+    struck = frozenset(chance.sample(FAULTS, 2))
+    fleet = Struck(seed, struck)
+    for fault in struck & LINKS.keys():
+        fleet.handovers = LINKS[fault]
+    for number in range(3):
+        moment = START_SECONDS + chance.uniform(0, TRAFFIC_SECONDS)
+        joining = functools.partial(fleet.join, f'entry-new-{number}')
+        fleet.at(moment, joining)
+    return judged(fleet)
+
+
 @rows.row(SPEND, 'pause')
 def check_spent_token(seed: int) -> list[violations.Violation]:
     """A token that was spent before a pause admits nothing after it."""
@@ -166,6 +182,7 @@
     for irrelevant, cause in IRRELEVANT.items():
         rows.not_applicable(ASK, irrelevant, cause)
         rows.not_applicable(GRANT, irrelevant, cause)
+        rows.not_applicable(HANDOVER, irrelevant, cause)
         rows.not_applicable(SPEND, irrelevant, cause)
     for elsewhere in (
         'log_down',
--- a/src/bilberryglade_schema/peer.py
+++ b/src/bilberryglade_schema/peer.py
@@ -170,3 +170,18 @@
     count: int
     retry_us: int
     confirmed: bool
+
+
+class QuotaHandover(TypedDict):
+    """
+    An old quota home's last word, for the home that follows it by the change at offset `term`.
+    """
+
+    kind: Literal['quota_handover']
+    version: int
+    instance: str
+    organisation: str
+    limit: str
+    term: int
+    level: float
+    given: int
