Ownership: activation waits, authority by votes, releases and losses

Cause: a new leader and a new owner acted at once, so two targets could run work of one slot; with the log down nobody acted; a lost instance stayed a member for ever, and a lost target kept its slots.

Now an instance acts only with authority (a young read, or votes of a majority that knows of nothing newer). A successor acts when its predecessors released, or when their authority has certainly ended and their grants have lapsed. Earlier owners are told of the newer fence first. Instances of a failure domain expel a silent one; leaders record targets gone and live.

Ruled out: waiting for every member of the old group (one lost voter would stop all), and a lease of the leader in the log (an append for each renewal). The epochs that no record has ended stand in the folded state, so that a fresh instance knows whom to wait for.

Faults at the new steps without matrix rows stand in pending.py.

Deployment.stop ends instances before the platform: a planned stop needs the log.

--- a/src/bilberryglade/_delivery/dispatcher.py
+++ b/src/bilberryglade/_delivery/dispatcher.py
@@ -138,6 +138,13 @@
             return 0
         return sum(1 for running in channel.running.values() if running == slot)
 
+    def running_slots(self, target: str) -> frozenset[int]:
+        """Returns the slots of the requests that run at a target."""
+        channel = self.channels.get(target)
+        if channel is None:
+            return frozenset()
+        return frozenset(slot for slot in channel.running.values() if slot >= 0)
+
     def waiting_count(self) -> int:
         """Returns how many requests wait in front of all led targets."""
         return sum(len(channel.waiting) for channel in self.channels.values())
--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -21,12 +21,19 @@
 from bilberryglade._listing import list_client
 from bilberryglade._log import follower, log_client, recorder
 from bilberryglade._membership import (
+    expulsion,
     heartbeats,
     peer_handlers as membership_handlers,
 )
 from bilberryglade._observability import readings
 from bilberryglade._operations import operations
-from bilberryglade._ownership import leases
+from bilberryglade._ownership import (
+    holder,
+    leases,
+    peer_handlers as ownership_handlers,
+    probes,
+    releases,
+)
 from bilberryglade._peers import network
 from bilberryglade._state import (
     folding,
@@ -41,6 +48,8 @@
 #: Shorter than servers usually keep idle connections.
 CONNECTION_IDLE_MS: typing.Final = 1000
 CONNECTIONS_TO_TARGETS: typing.Final = 1024
+#: Time in which successors ask for releases and their answers go out.
+RELEASE_SECONDS: typing.Final = 0.3
 JOIN_SECONDS: typing.Final = 10.0
 ADMIN_STOP_SECONDS: typing.Final = 1
 #: A peer that hears nothing declares this instance lost.
@@ -51,6 +60,7 @@
     topology_folds,
     peer_handlers,
     membership_handlers,
+    ownership_handlers,
 )
 
 
@@ -82,12 +92,6 @@
                 answer_bytes=config['limits']['body_bytes'],
             ),
         )
-        self.granter = leases.Leases(
-            name,
-            self.reader,
-            self.targets,
-            config['timings'],
-        )
         self.peers = network.PeerNetwork(
             config['listen']['peers'],
             config['peers'],
@@ -100,11 +104,21 @@
             self.peers,
             config['timings'],
         )
+        self.keeper = holder.Holder(self.reader, self.heartbeats)
+        self.prober = probes.Prober(self.targets.fresh)
+        self.granter = leases.Leases(self.keeper, self.targets, self.prober)
+        self.releases = releases.Releases(
+            self.keeper,
+            self.granter,
+            self.peers,
+        )
+        self.reader.listeners.append(self.keeper.take_view)
         self.dispatcher = dispatcher.Dispatcher(
             self.targets,
             self.granter.may_dispatch,
             config['limits']['queue_length'],
         )
+        self.granter.running = self.dispatcher.running_slots
         self.reader.listeners.append(self.dispatcher.observe)
         self.named = once.Once(
             name,
@@ -120,13 +134,20 @@
             self.peers,
             self.named,
         )
+        self.expulsion = expulsion.Expulsion(
+            self.keeper.facts,
+            self.heartbeats,
+            self.writer,
+            self._join,
+        )
         self.reader.listeners.append(self.delivery.forwards.observe)
         self.duties = duties.Duties(
-            name,
             config['failure_domain'],
-            self.reader,
+            self.keeper,
+            self.prober,
             self.writer,
             list_client.ListClient(platform['list_url'], self.http),
+            self.expulsion.silent_domains,
         )
         self.stopper = stopping.Stopper()
         self.observation = observation.Observation(
@@ -158,7 +179,7 @@
 
     def log_case(self) -> str:
         """Names the case that the log is in for this instance."""
-        return 'fresh' if self.granter.has_authority else 'not_fresh'
+        return 'fresh' if self.keeper.is_fresh else 'not_fresh'
 
     def operations_context(self) -> operations.Context:
         """Returns the parts that operators' operations act on."""
@@ -187,7 +208,9 @@
             for loop in (
                 self.reader.follow(),
                 self.granter.renew(),
+                self.releases.ask(),
                 self.duties.perform(),
+                self.expulsion.watch_members(),
                 self.heartbeats.beat(),
                 self.observation.watch(),
                 self._receive(),
@@ -241,12 +264,19 @@
                 return
 
     async def _leave(self, seconds: int) -> None:
-        """Gives up every role, then lets forwarded requests end."""
+        """Gives up every role, then lets forwarded requests end.
+
+        No vote is given from before the record on, so that its readers can
+        count on it; successors then have time to ask for releases.
+        """
+        self.heartbeats.is_silent = True
         member = self.reader.view.members.get(self.config['instance'])
         if member is not None and member.boot == self.boot:
             record = stopping.leave_record(member)
             await self.writer.commit(record, LEAVE_SECONDS)
+        await asyncio.sleep(RELEASE_SECONDS)
         await stopping.wait_until(self.dispatcher.is_idle, seconds)
+        await asyncio.sleep(RELEASE_SECONDS)
 
     async def _receive(self) -> None:
         while True:
--- a/src/bilberryglade/_instance/duties.py
+++ b/src/bilberryglade/_instance/duties.py
@@ -1,44 +1,115 @@
 """Periodic duties of the roles that an instance holds."""
 
 import asyncio
+import contextlib
+import time
 import typing
+from collections import abc
 
 import result
 
 from bilberryglade._listing import list_client
-from bilberryglade._log import follower, recorder
+from bilberryglade._log import recorder
+from bilberryglade._membership import endings
+from bilberryglade._ownership import activation, holder, probes
 from bilberryglade._routing import placement, roles
 from bilberryglade._state import folding, state
-from bilberryglade_schema import platform
+from bilberryglade._values import steps
+from bilberryglade_schema import platform, records
 
 INTERVAL_SECONDS: typing.Final = 0.2
+TARGET_SECONDS: typing.Final = 0.05
 COMMIT_SECONDS: typing.Final = 2.0
+MAX_ENDS: typing.Final = 64
+REGISTER: typing.Final = steps.declare(
+    'ownership.append_target',
+    steps.StepKind.append,
+)
+ASSIGN: typing.Final = steps.declare(
+    'ownership.append_assignment',
+    steps.StepKind.append,
+)
+SETTLE: typing.Final = steps.declare(
+    'ownership.append_ended',
+    steps.StepKind.append,
+)
+
+SilentDomains: typing.TypeAlias = abc.Callable[[], frozenset[str]]
 
 
 class Duties:
-    """Registers targets and assigns slots, where this instance has the role."""
+    """What an instance writes to the log for the roles that it holds."""
 
     def __init__(
         self,
-        instance: str,
         failure_domain: str,
-        reader: follower.Follower,
+        keeper: holder.Holder,
+        prober: probes.Prober,
         writer: recorder.Recorder,
         listing: list_client.ListClient,
+        silent_domains: SilentDomains,
     ) -> None:
-        """Acts as `instance` of `failure_domain`."""
-        self.instance = instance
+        """Acts as the process of `keeper`, in `failure_domain`."""
+        self.instance = keeper.beats.instance
         self.failure_domain = failure_domain
-        self.reader = reader
+        self.keeper = keeper
+        self.reader = keeper.reader
+        self.prober = prober
         self.writer = writer
         self.listing = listing
+        self.silent_domains = silent_domains
 
     async def perform(self) -> None:
         """Performs the duties again and again until cancelled."""
+        await asyncio.gather(
+            self._repeat(self._register_targets, INTERVAL_SECONDS),
+            self._repeat(self._assign_slots, INTERVAL_SECONDS),
+            self._repeat(self._settle, INTERVAL_SECONDS),
+            self._repeat(self._judge_targets, TARGET_SECONDS),
+        )
+
+    async def _repeat(
+        self,
+        duty: abc.Callable[[], abc.Awaitable[None]],
+        seconds: float,
+    ) -> None:
+        """Performs one duty at each change of state and each interval."""
         while True:
-            await self._register_targets()
-            await self._assign_slots()
-            await asyncio.sleep(INTERVAL_SECONDS)
+            advanced = self.reader.advanced
+            await duty()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(advanced.wait(), seconds)
+
+    async def _judge_targets(self) -> None:
+        """Records led targets that stopped answering, or answer again."""
+        view = self.reader.view
+        now = time.monotonic()
+        for name in self.keeper.holdings.led:
+            target = view.targets[name]
+            standing = self.prober.standings.get(name, probes.Standing())
+            wanted = probes.state_wanted(target.state, standing, now)
+            if wanted != target.state:
+                await self.writer.commit(
+                    state_record(target, wanted),
+                    COMMIT_SECONDS,
+                )
+
+    async def _settle(self) -> None:
+        """Records up to where earlier authority and its grants have ended."""
+        view = self.reader.view
+        if roles.settler(view) != self.instance:
+            return
+        ends = settled_groups(
+            view,
+            self.keeper.endings,
+            activation.longest_lapse(self.keeper.facts()),
+            time.monotonic(),
+        )
+        if ends:
+            await self.writer.commit(
+                ended_record(self.instance, ends),
+                COMMIT_SECONDS,
+            )
 
     async def _register_targets(self) -> None:
         view = self.reader.view
@@ -59,7 +130,11 @@
         for service in services:
             if roles.placer_of_service(view, service) != self.instance:
                 continue
-            wanted = placement.plan(view, service)
+            wanted = placement.plan(
+                view,
+                service,
+                silent=self.silent_domains(),
+            )
             if wanted is not None:
                 await self.writer.commit(
                     assignment_record(wanted),
@@ -79,7 +154,7 @@
             continue
         wanted = 'draining' if row['state'] == 'leaving' else 'live'
         known = view.targets.get(row['name'])
-        if known is not None and known.state in {wanted, 'drained'}:
+        if known is not None and not _is_due(known.state, wanted):
             continue
         changes.append(_target_record(row, wanted, known))
     return changes
@@ -98,6 +173,59 @@
     }
 
 
+def state_record(
+    target: state.TargetState,
+    wanted: str,
+) -> folding.Record:
+    """Returns the record that changes the state of a registered target."""
+    return {
+        'id': recorder.new_record_id(),
+        'kind': 'target_changed',
+        **target._asdict(),
+        'state': wanted,
+        'based_on': target.changed_at,
+    }
+
+
+def settled_groups(
+    view: state.ClusterState,
+    known: abc.Mapping[str, endings.Endings],
+    lapse_seconds: float,
+    now: float,
+) -> list[records.GroupEnd]:
+    """Returns the ends that are newer than those in the state."""
+    ends: list[records.GroupEnd] = []
+    for group, row in sorted(known.items()):
+        offset = endings.settled_offset(row, lapse_seconds, now)
+        if offset > view.ended.get(group, 0):
+            ends.append({'group': group, 'offset': offset})
+    return ends[:MAX_ENDS]
+
+
+def ended_record(
+    instance: str,
+    ends: list[records.GroupEnd],
+) -> folding.Record:
+    """Returns the record of what has ended."""
+    return {
+        'id': recorder.new_record_id(),
+        'kind': 'authority_ended',
+        'by': instance,
+        'ends': ends,
+    }
+
+
+def _is_due(known: str, wanted: str) -> bool:
+    """Tells whether the list is to change a target's state.
+
+    The leader of a target that is gone says when it is back; operators say
+    when a drained one is.
+    """
+    if known == 'gone':
+        return wanted == 'draining'
+    return known not in {wanted, 'drained'}
+
+
 def _target_record(
     row: platform.ListedMember,
     wanted: str,
--- a/src/bilberryglade/_membership/heartbeats.py
+++ b/src/bilberryglade/_membership/heartbeats.py
@@ -5,6 +5,7 @@
 import typing
 
 from bilberryglade._log import follower
+from bilberryglade._membership import signs
 from bilberryglade._peers import handlers, network
 from bilberryglade_schema import peer, settings
 
@@ -13,22 +14,6 @@
 MAX_AGE_MS: typing.Final = 3_600_000
 
 
-class Sign(typing.NamedTuple):
-    """The newest facts heard from a peer."""
-
-    instance: str
-    boot: str
-    joined_at: int
-    #: Offset that the peer had folded.
-    offset: int
-    #: Age of the peer's newest complete read of the log when it wrote.
-    age_seconds: float
-    #: Monotonic seconds at which the heartbeat that it answered was sent.
-    asked_at: float
-    #: Monotonic seconds at which the answer came.
-    heard_at: float
-
-
 class Heartbeats:
     """Sends heartbeats to every member and keeps the answers."""
 
@@ -46,8 +31,10 @@
         self.reader = reader
         self.peers = peers
         self.timings = timings
-        self.signs: dict[str, Sign] = {}
+        self.signs: dict[str, signs.Sign] = {}
         self.sequence = 0
+        #: Set before a planned leave is recorded; no vote is given after it.
+        self.is_silent = False
         #: Monotonic seconds at which each recent heartbeat was sent.
         self.sent_at: dict[int, float] = {}
 
@@ -75,7 +62,7 @@
     def answer(self, message: peer.Heartbeat) -> None:
         """Answers a peer's heartbeat with this instance's own facts."""
         member = self.reader.view.members.get(message['instance'])
-        if member is None:
+        if member is None or self.is_silent:
             return
         reply: peer.HeartbeatAnswer = {
             **self._heartbeat(),
@@ -89,11 +76,12 @@
         asked_at = self.sent_at.get(message['sequence'])
         if asked_at is None:
             return
-        self.signs[message['instance']] = Sign(
+        self.signs[message['instance']] = signs.Sign(
             instance=message['instance'],
             boot=message['boot'],
             joined_at=message['joined_at'],
             offset=message['offset'],
+            ownership_at=message['ownership_at'],
             age_seconds=message['age_ms'] / MILLISECONDS,
             asked_at=asked_at,
             heard_at=time.monotonic(),
@@ -102,14 +90,16 @@
     def _heartbeat(self) -> peer.Heartbeat:
         view = self.reader.view
         member = view.members.get(self.instance)
+        joined = member is not None and member.boot == self.boot
         age_ms = min(self.reader.age_seconds * MILLISECONDS, MAX_AGE_MS)
         return {
             'kind': 'heartbeat',
             'version': handlers.VERSION,
             'instance': self.instance,
             'boot': self.boot,
-            'joined_at': member.joined_at if member else 0,
+            'joined_at': member.joined_at if member and joined else 0,
             'sequence': self.sequence,
             'offset': view.offset,
             'age_ms': int(age_ms),
+            'ownership_at': view.ownership_changed_at,
         }
--- /dev/null
+++ b/src/bilberryglade/_membership/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of membership and authority."""
--- a/src/bilberryglade/_operations/status.py
+++ b/src/bilberryglade/_operations/status.py
@@ -6,7 +6,7 @@
 
 import result
 
-from bilberryglade._membership import heartbeats
+from bilberryglade._membership import signs
 from bilberryglade._operations import operations, topology
 from bilberryglade._routing import placement, roles
 from bilberryglade._rules import rules
@@ -49,7 +49,7 @@
 def instance_row(
     view: state.ClusterState,
     member: state.Member,
-    sign: heartbeats.Sign | None,
+    sign: signs.Sign | None,
     now: float,
 ) -> admin.InstanceRow:
     """Returns what a peer's newest heartbeat says of it at `now`."""
--- /dev/null
+++ b/src/bilberryglade/_ownership/holder.py
@@ -0,0 +1,161 @@
+"""Keeps an instance's holdings in line with its state and knowledge."""
+
+import time
+import typing
+from collections import abc
+
+import immutables
+
+from bilberryglade._log import follower
+from bilberryglade._membership import authority, endings, heartbeats
+from bilberryglade._ownership import activation, holdings
+from bilberryglade._state import state
+
+NEVER: typing.Final = float('-inf')
+
+
+class Holder:
+    """Applies the decisions about authority and activation to live facts."""
+
+    def __init__(
+        self,
+        reader: follower.Follower,
+        beats: heartbeats.Heartbeats,
+    ) -> None:
+        """Acts as the process that `beats` speaks for."""
+        self.reader = reader
+        self.beats = beats
+        self.bounds = authority.bounds_of(beats.timings)
+        self.endings: dict[str, endings.Endings] = {}
+        self.releases: immutables.Map[activation.Release, int] = (
+            immutables.Map()
+        )
+        #: Subjects of slots whose earlier owner was told of the newer fence.
+        self.fenced_off: frozenset[str] = frozenset()
+        self.holdings = holdings.Holdings()
+        #: By target, until when this instance might act for it.
+        self.acted_until: dict[str, float] = {}
+        self.noted_at = 0
+        #: Whether a fact has changed that the holdings depend on.
+        self.is_stale = True
+
+    @property
+    def view(self) -> state.ClusterState:
+        """The newest folded state."""
+        return self.reader.view
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether the newest read of the log is young enough to act on."""
+        return self.reader.age_seconds < self.bounds.authority
+
+    def facts(self) -> authority.Facts:
+        """Returns what the authority of this instance depends on."""
+        return authority.Facts(
+            view=self.reader.view,
+            instance=self.beats.instance,
+            boot=self.beats.boot,
+            fresh_at=self.reader.fresh_at,
+            signs=self.beats.signs,
+            bounds=self.bounds,
+        )
+
+    def situation(self) -> activation.Situation:
+        """Returns the situation at this moment."""
+        knowledge = activation.Knowledge(
+            self.endings,
+            self.releases,
+            self.fenced_off,
+        )
+        return activation.Situation(self.facts(), knowledge, time.monotonic())
+
+    def take_view(self, view: state.ClusterState) -> None:
+        """Takes in a newer state before anything acts on it."""
+        if view.ownership_changed_at > self.noted_at:
+            self.noted_at = view.ownership_changed_at
+            self._note_change(view)
+        self.is_stale = True
+        self.update()
+
+    def update(self) -> None:
+        """Brings endings and holdings up to date."""
+        facts = self.facts()
+        now = time.monotonic()
+        for group, known in self.endings.items():
+            if known.pending:
+                self.endings[group] = endings.advance(known, facts, now)
+        if self.is_stale or self.holdings.is_waiting:
+            self.is_stale = False
+            self.holdings = holdings.assess(
+                self.situation(),
+                self.holdings,
+                self.acted_until,
+            )
+        self.acted_until = {
+            target: self.authority_until(target) for target in self.holdings.led
+        }
+
+    def authority_until(self, target: str) -> float:
+        """Returns until when this instance may act for `target`."""
+        facts = self.facts()
+        group = activation.group_of_target(facts.view, target)
+        return authority.authority_until(facts, group)
+
+    def has_authority(self, target: str) -> bool:
+        """Tells whether this instance may act for `target` now."""
+        return time.monotonic() < self.authority_until(target)
+
+    def take_release(
+        self,
+        joined_at: int,
+        offset: int,
+        subjects: abc.Iterable[str],
+    ) -> None:
+        """Keeps what a process said it released, as of `offset`."""
+        releases = self.releases
+        for subject in subjects:
+            release = activation.Release(joined_at, subject)
+            newest = max(releases.get(release, 0), offset)
+            releases = releases.set(release, newest)
+        self.releases = releases
+        self.is_stale = True
+
+    def note_fenced_off(
+        self,
+        subjects: holdings.Changes,
+    ) -> None:
+        """Notes that earlier owners know of newer fences or are out of reach."""
+        told = {
+            activation.slot_subject(slot, fence) for slot, fence in subjects
+        }
+        self.fenced_off = self.fenced_off | told
+        self.is_stale = True
+
+    def has_released(self, slot: activation.Slot, fence: int) -> bool:
+        """Tells whether this instance has stopped serving a slot it led."""
+        member = authority.own_member(self.facts())
+        if member is None:
+            return False
+        subject = activation.slot_subject(slot, fence)
+        return activation.Release(member.joined_at, subject) in self.releases
+
+    def release_own(self, slot: activation.Slot, fence: int) -> None:
+        """Notes that this instance has stopped serving a slot it led."""
+        member = authority.own_member(self.facts())
+        if member is None:
+            return
+        subject = activation.slot_subject(slot, fence)
+        self.take_release(
+            member.joined_at,
+            self.reader.view.offset,
+            (subject,),
+        )
+
+    def _note_change(self, view: state.ClusterState) -> None:
+        groups = {authority.GROUP_OF_ALL}
+        for members in (view.members, *(row.members for row in view.epochs)):
+            groups.update(row.failure_domain for row in members.values())
+        for group in groups:
+            known = self.endings.get(group, endings.Endings(group))
+            changed_at = view.ownership_changed_at
+            self.endings[group] = endings.note_change(known, changed_at)
--- a/src/bilberryglade/_routing/placement.py
+++ b/src/bilberryglade/_routing/placement.py
@@ -3,7 +3,8 @@
 import typing
 from collections import abc
 
-from bilberryglade._routing import slots
+from bilberryglade._routing import roles, slots
+from bilberryglade._rules import rules
 from bilberryglade._state import state
 from bilberryglade._values import registry
 
@@ -22,6 +23,8 @@
     dict[int, str],
 ]
 
+NONE_SILENT: typing.Final[frozenset[str]] = frozenset()
+
 placers: typing.Final = registry.Registry[Placer]('placement policy')
 
 
@@ -64,19 +67,45 @@
     return wanted
 
 
-def usable_targets(view: state.ClusterState, service: str) -> tuple[str, ...]:
-    """Returns live targets of `service` in failure domains in service."""
+def usable_targets(
+    view: state.ClusterState,
+    service: str,
+    silent: frozenset[str] = NONE_SILENT,
+) -> tuple[str, ...]:
+    """Returns live, led targets of `service` in domains that take work.
+
+    Targets in `silent` failure domains count as lost unless the service keeps
+    its keys where they are.
+    """
+    lost = NONE_SILENT if keeps(view, service) else silent
     return tuple(
         sorted(
             target.target
             for target in view.targets.values()
             if target.service == service
-            and target.state == 'live'
-            and in_service(view, target.failure_domain)
+            and target.failure_domain not in lost
+            and _takes_work(view, target)
         ),
     )
 
 
+def _takes_work(view: state.ClusterState, target: state.TargetState) -> bool:
+    if target.state != 'live':
+        return False
+    if not in_service(view, target.failure_domain):
+        return False
+    return bool(roles.leader_of_target(view, target.target))
+
+
+def keeps(view: state.ClusterState, service: str) -> bool:
+    """Tells whether a service's keys stay in a domain that is cut off."""
+    return any(
+        rule.isolation is rules.Isolation.keep
+        for rule in view.rules.book.services
+        if rule.service == service
+    )
+
+
 def in_service(view: state.ClusterState, failure_domain: str) -> bool:
     """Tells whether operators have left a failure domain in service."""
     domain = view.failure_domains.get(failure_domain)
@@ -87,9 +116,10 @@
     view: state.ClusterState,
     service: str,
     policy: str = 'bounded',
+    silent: frozenset[str] = NONE_SILENT,
 ) -> Placement | None:
     """Returns the moves that `policy` wants, or None if all is in place."""
-    usable = usable_targets(view, service)
+    usable = usable_targets(view, service, silent)
     if not usable:
         return None
     current = view.services.get(service, state.ServiceSlots())
--- a/src/bilberryglade/_routing/roles.py
+++ b/src/bilberryglade/_routing/roles.py
@@ -4,6 +4,8 @@
 that may hold it. The records that change members are thereby the only terms.
 """
 
+from collections import abc
+
 from bilberryglade._routing import slots
 from bilberryglade._state import state
 
@@ -16,7 +18,20 @@
     known = view.targets.get(target)
     if known is None:
         return ''
-    names = members_of(view, known.failure_domain)
+    return leader_among(view.members, target, known.failure_domain)
+
+
+def leader_among(
+    members: abc.Mapping[str, state.Member],
+    target: str,
+    failure_domain: str,
+) -> str:
+    """Returns the leader of a target of `failure_domain` among `members`."""
+    names = [
+        member.instance
+        for member in members.values()
+        if member.failure_domain == failure_domain
+    ]
     return slots.best(f'leader|{target}', names)
 
 
@@ -31,6 +46,11 @@
     return slots.best(f'registrar|{failure_domain}', names)
 
 
+def settler(view: state.ClusterState) -> str:
+    """Returns the instance that records which authority has ended."""
+    return slots.best('settler', view.members)
+
+
 def members_of(view: state.ClusterState, failure_domain: str) -> list[str]:
     """Returns the instances of a failure domain, in alphabetical order."""
     return sorted(
--- a/src/bilberryglade/_state/ownership_folds.py
+++ b/src/bilberryglade/_state/ownership_folds.py
@@ -5,6 +5,8 @@
 from bilberryglade._state import folding, state
 from bilberryglade_schema import records
 
+#: Name of the group of voters that has every member.
+GROUP_OF_ALL = ''
 NO_OWNER = state.SlotOwner('', 0, '', 0)
 
 
@@ -27,7 +29,8 @@
     owners = _moved(slots.owners, offset, record['moves'])
     moved = slots._replace(changed_at=offset, owners=owners)
     services = before.services.set(service, moved)
-    return folding.accept(before._replace(services=services), offset)
+    changed = before._replace(services=services, ownership_changed_at=offset)
+    return folding.accept(changed, offset)
 
 
 @folding.fold_for('hot_key_split', records.HotKeySplit)
@@ -45,7 +48,8 @@
     hot_slots = slots.hot_slots.set(record['key_digest'], record['slot'])
     split = slots._replace(changed_at=offset, hot_slots=hot_slots)
     services = before.services.set(service, split)
-    return folding.accept(before._replace(services=services), offset)
+    changed = before._replace(services=services, ownership_changed_at=offset)
+    return folding.accept(changed, offset)
 
 
 @folding.fold_for('request_quarantined', records.RequestQuarantined)
@@ -59,6 +63,32 @@
     return folding.accept(before._replace(quarantined=quarantined), offset)
 
 
+@folding.fold_for('authority_ended', records.AuthorityEnded)
+def fold_authority_ended(
+    before: state.ClusterState,
+    offset: int,
+    record: records.AuthorityEnded,
+) -> folding.FoldStep:
+    """Notes below which offset nobody acts, and drops epochs that ended."""
+    ended = before.ended
+    for entry in record['ends']:
+        newest = max(ended.get(entry['group'], 0), entry['offset'])
+        ended = ended.set(entry['group'], min(newest, offset))
+    groups = {GROUP_OF_ALL}.union(
+        member.failure_domain
+        for epoch in before.epochs
+        for member in epoch.members.values()
+    )
+    lowest = min(ended.get(group, 0) for group in groups)
+    epochs = tuple(row for row in before.epochs if row.ended_at > lowest)
+    changed = before._replace(
+        ended=ended,
+        epochs=epochs,
+        departed=before.departed if epochs else immutables.Map(),
+    )
+    return folding.accept(changed, offset)
+
+
 def _unknown_target(
     before: state.ClusterState,
     record: records.SlotsAssigned,
--- a/src/bilberryglade/_state/state.py
+++ b/src/bilberryglade/_state/state.py
@@ -20,6 +20,15 @@
     joined_at: int
 
 
+class Epoch(typing.NamedTuple):
+    """The members between two changes of the membership."""
+
+    started_at: int
+    #: Offset of the record that ended the epoch.
+    ended_at: int
+    members: immutables.Map[str, Member]
+
+
 class ApiKey(typing.NamedTuple):
     """An API key of an organisation; the secret itself is kept nowhere."""
 
@@ -36,6 +45,8 @@
     name: str
     in_service: bool
     changed_at: int
+    #: Operators have made sure that no process of it runs, as of `changed_at`.
+    confirmed_off: bool = False
 
 
 class TargetState(typing.NamedTuple):
@@ -111,3 +122,13 @@
     verdicts: immutables.Map[str, Verdict] = immutables.Map()
     #: Offset of the newest change to members, failure domains or targets.
     topology_changed_at: int = 0
+    #: Offset of the newest change to anything that ownership depends on.
+    ownership_changed_at: int = 0
+    #: Offset of the newest change to the members.
+    members_changed_at: int = 0
+    #: Earlier memberships in which somebody may still act, oldest first.
+    epochs: tuple[Epoch, ...] = ()
+    #: Instances that left as planned: offset of the leave by offset of the join.
+    departed: immutables.Map[int, int] = immutables.Map()
+    #: By group of voters: nobody acts on a state older than this offset.
+    ended: immutables.Map[str, int] = immutables.Map()
--- a/src/bilberryglade/_state/topology_folds.py
+++ b/src/bilberryglade/_state/topology_folds.py
@@ -1,5 +1,7 @@
 """Folds of records about instances, failure domains and targets."""
 
+import immutables
+
 from bilberryglade._state import folding, state
 from bilberryglade_schema import records
 
@@ -20,8 +22,7 @@
         joined_at=offset,
     )
     members = before.members.set(member.instance, member)
-    changed = before._replace(members=members, topology_changed_at=offset)
-    return folding.accept(changed, offset)
+    return folding.accept(_with_members(before, offset, members), offset)
 
 
 @folding.fold_for('instance_left', records.InstanceLeft)
@@ -35,8 +36,15 @@
     if member is None or member.joined_at != record['joined_at']:
         reason = f'{record["instance"]} did not join at {record["joined_at"]}'
         return folding.reject(before, offset, reason)
+    by_joined_at = record.get('by_joined_at', 0)
+    if by_joined_at and not _is_joined(before, by_joined_at):
+        reason = f'who joined at {by_joined_at} is no member any more'
+        return folding.reject(before, offset, reason)
     members = before.members.delete(record['instance'])
-    changed = before._replace(members=members, topology_changed_at=offset)
+    changed = _with_members(before, offset, members)
+    if record['reason'] == 'planned':
+        departed = before.departed.set(member.joined_at, offset)
+        changed = changed._replace(departed=departed)
     return folding.accept(changed, offset)
 
 
@@ -57,10 +65,12 @@
         name=name,
         in_service=record['state'] == 'in_service',
         changed_at=offset,
+        confirmed_off=record.get('confirmed_off', False),
     )
     changed = before._replace(
         failure_domains=before.failure_domains.set(name, domain),
         topology_changed_at=offset,
+        ownership_changed_at=offset,
     )
     return folding.accept(changed, offset)
 
@@ -78,6 +88,9 @@
     if record['based_on'] != changed_at:
         reason = f'{name} was changed at {changed_at}'
         return folding.reject(before, offset, reason, winner=changed_at)
+    if known and known.failure_domain != record['failure_domain']:
+        reason = f'{name} belongs to {known.failure_domain}'
+        return folding.reject(before, offset, reason)
     target = state.TargetState(
         target=name,
         service=record['service'],
@@ -91,5 +104,27 @@
     changed = before._replace(
         targets=before.targets.set(name, target),
         topology_changed_at=offset,
+        ownership_changed_at=offset,
     )
     return folding.accept(changed, offset)
+
+
+def _is_joined(before: state.ClusterState, joined_at: int) -> bool:
+    return any(
+        member.joined_at == joined_at for member in before.members.values()
+    )
+
+
+def _with_members(
+    before: state.ClusterState,
+    offset: int,
+    members: immutables.Map[str, state.Member],
+) -> state.ClusterState:
+    epoch = state.Epoch(before.members_changed_at, offset, before.members)
+    return before._replace(
+        members=members,
+        epochs=(*before.epochs, epoch),
+        topology_changed_at=offset,
+        ownership_changed_at=offset,
+        members_changed_at=offset,
+    )
--- a/src/bilberryglade_lab/deployment.py
+++ b/src/bilberryglade_lab/deployment.py
@@ -76,10 +76,13 @@
         await self._wait_until_served()
 
     async def stop(self) -> None:
-        """Ends every process that this deployment started."""
-        await asyncio.gather(
-            *(processes.stop(process) for process in self.running.values()),
-        )
+        """Ends every process that this deployment started.
+
+        Instances go first: a planned stop needs the log.
+        """
+        instances = [self.running[name] for name in self.instances]
+        for group in (instances, self.running.values()):
+            await asyncio.gather(*(processes.stop(row) for row in group))
         self.folder.cleanup()
 
     async def start_instance(self, number: int) -> InstancePlace:
--- a/src/bilberryglade_lab/matrix/pending.py
+++ b/src/bilberryglade_lab/matrix/pending.py
@@ -14,4 +14,56 @@
     faults: tuple[str, ...]
 
 
-PENDING: typing.Final[tuple[Pending, ...]] = ()
+#: Faults that strike an exchange of messages.
+EXCHANGE: typing.Final = (
+    'answer_lost',
+    'connection_silent',
+    'crashing_request',
+    'freeze_and_return',
+    'key_withdrawn',
+    'log_down',
+    'loss',
+    'message_delayed',
+    'message_dropped',
+    'message_duplicated',
+    'message_reordered',
+    'partition_both',
+    'partition_one_way',
+    'partition_peers',
+    'partition_platform',
+    'pause',
+    'target_cold',
+)
+
+#: Faults that strike an append.
+APPEND: typing.Final = (*EXCHANGE, 'log_slow', 'log_stale', 'operators_race')
+
+PENDING: typing.Final[tuple[Pending, ...]] = (
+    Pending('membership.append_lost', APPEND),
+    Pending('membership.heartbeat', EXCHANGE),
+    Pending('ownership.append_assignment', APPEND),
+    Pending('ownership.append_ended', APPEND),
+    Pending('ownership.append_target', APPEND),
+    Pending('ownership.answer_release', EXCHANGE),
+    Pending('ownership.ask_release', EXCHANGE),
+    Pending('ownership.fence_off_earlier_owner', EXCHANGE),
+    Pending(
+        'ownership.grant_to_target',
+        (
+            'crashing_request',
+            'freeze_and_return',
+            'key_withdrawn',
+            'lease_lapsed',
+            'log_down',
+            'log_slow',
+            'loss',
+            'partition_both',
+            'partition_one_way',
+            'partition_peers',
+            'partition_platform',
+            'pause',
+            'target_cold',
+        ),
+    ),
+    Pending('ownership.probe_target', EXCHANGE),
+)
--- a/src/bilberryglade_schema/peer.py
+++ b/src/bilberryglade_schema/peer.py
@@ -70,6 +70,7 @@
     sequence: int
     offset: int
     age_ms: int
+    ownership_at: int
 
 
 class HeartbeatAnswer(TypedDict):
@@ -85,6 +86,7 @@
     sequence: int
     offset: int
     age_ms: int
+    ownership_at: int
 
 
 class Envelope(TypedDict):
@@ -127,3 +129,40 @@
     version: int
     sender: str
     request_id: str
+
+
+class SlotFence(TypedDict):
+    """
+    A slot of a service and the fence of its newest owner.
+    """
+
+    service: str
+    slot: int
+    fence: int
+
+
+class ReleaseAsk(TypedDict):
+    """
+    Asks an earlier leader of the targets, and of the slots' earlier owners, whether it has stopped. The sender acts on the state at the offset.
+    """
+
+    kind: Literal['release_ask']
+    version: int
+    instance: str
+    offset: int
+    targets: list[str]
+    slots: list[SlotFence]
+
+
+class ReleaseAnswer(TypedDict):
+    """
+    Targets and slots for which the process that joined at `joined_at` has nothing in flight and will start nothing, as of the offset.
+    """
+
+    kind: Literal['release_answer']
+    version: int
+    instance: str
+    joined_at: int
+    offset: int
+    targets: list[str]
+    slots: list[SlotFence]
--- a/src/bilberryglade_schema/records.py
+++ b/src/bilberryglade_schema/records.py
@@ -76,6 +76,7 @@
     instance: Name
     joined_at: Offset
     reason: Literal['planned', 'lost']
+    by_joined_at: NotRequired[int]
 
 
 class FailureDomainChanged(TypedDict, closed=True):
@@ -89,6 +90,7 @@
     state: Literal['in_service', 'out']
     based_on: Offset
     by: str
+    confirmed_off: NotRequired[bool]
 
 
 class TargetChanged(TypedDict, closed=True):
@@ -172,6 +174,26 @@
     record: RecordId
 
 
+class GroupEnd(TypedDict, closed=True):
+    """
+    No instance acts any more on a state older than the offset by votes of the group; the grants given under it have lapsed. The group is a failure domain, or empty for all instances.
+    """
+
+    group: str
+    offset: Offset
+
+
+class AuthorityEnded(TypedDict, closed=True):
+    """
+    What an instance has made certain about earlier states, so that later readers need not ask processes that are gone.
+    """
+
+    id: RecordId
+    kind: Literal['authority_ended']
+    by: Name
+    ends: list[GroupEnd]
+
+
 class IntentsRecorded(TypedDict, closed=True):
     """
     A group commit of intents and releases, in the intent stream of a service. One with neither marks a place that a reader waits for.
