--- a/src/bilberryglade/_instance/duties.py
+++ b/src/bilberryglade/_instance/duties.py
@@ -20,6 +20,8 @@
 INTERVAL_SECONDS: typing.Final = 0.2
 TARGET_SECONDS: typing.Final = 0.05
 COMMIT_SECONDS: typing.Final = 2.0
+#: Least time between two steps in which slots in service move.
+STEP_SECONDS: typing.Final = 0.5
 MAX_ENDS: typing.Final = 64
 REGISTER: typing.Final = steps.declare(
     'ownership.append_target',
@@ -58,6 +60,8 @@
         self.writer = writer
         self.listing = listing
         self.silent_domains = silent_domains
+        #: Monotonic seconds of the newest assignment of each service.
+        self.assigned_at: dict[str, float] = {}
 
     async def perform(self) -> None:
         """Performs the duties again and again until cancelled."""
@@ -124,6 +128,13 @@
         ):
             await self.writer.commit(record, COMMIT_SECONDS)
 
+    def _voluntary(self, service: str) -> int:
+        """Returns how many slots in service may move now."""
+        last = self.assigned_at.get(service, float('-inf'))
+        if time.monotonic() - last < STEP_SECONDS:
+            return 0
+        return placement.MOST_VOLUNTARY
+
     async def _assign_slots(self) -> None:
         view = self.reader.view
         services = sorted({row.service for row in view.targets.values()})
@@ -134,8 +145,10 @@
                 view,
                 service,
                 silent=self.silent_domains(),
+                most_voluntary=self._voluntary(service),
             )
             if wanted is not None:
+                self.assigned_at[service] = time.monotonic()
                 await self.writer.commit(
                     assignment_record(wanted),
                     COMMIT_SECONDS,
--- a/src/bilberryglade/_routing/placement.py
+++ b/src/bilberryglade/_routing/placement.py
@@ -23,6 +23,8 @@
     dict[int, str],
 ]
 
+#: Slots in service that move to another target in one step.
+MOST_VOLUNTARY: typing.Final = 8
 NONE_SILENT: typing.Final[frozenset[str]] = frozenset()
 
 placers: typing.Final = registry.Registry[Placer]('placement policy')
@@ -117,8 +119,14 @@
     service: str,
     policy: str = 'bounded',
     silent: frozenset[str] = NONE_SILENT,
+    most_voluntary: int = MOST_VOLUNTARY,
 ) -> Placement | None:
-    """Returns the moves that `policy` wants, or None if all is in place."""
+    """Returns the moves that `policy` wants, or None if all is in place.
+
+    Slots that are served move `most_voluntary` at a time, so that targets that
+    come back, as a rule cold, are given work in steps; slots that are not
+    served move at once.
+    """
     usable = usable_targets(view, service, silent)
     if not usable:
         return None
@@ -129,9 +137,24 @@
         for slot, target in sorted(wanted.items())
         if _owner_name(current, slot) != target
     )
-    if not moves:
+    due = gated(current, usable, moves, most_voluntary)
+    if not due:
         return None
-    return Placement(service, current.changed_at, moves)
+    return Placement(service, current.changed_at, due)
+
+
+def gated(
+    current: state.ServiceSlots,
+    usable: tuple[str, ...],
+    moves: tuple[tuple[int, str], ...],
+    most_voluntary: int,
+) -> tuple[tuple[int, str], ...]:
+    """Returns the moves away from lost owners and a few of the others."""
+    forced = tuple(
+        move for move in moves if _owner_name(current, move[0]) not in usable
+    )
+    voluntary = [move for move in moves if move not in forced]
+    return (*forced, *voluntary[:most_voluntary])
 
 
 def _owner_name(current: state.ServiceSlots, slot: int) -> str:
