--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -18,8 +18,21 @@
     tenures,
 )
 from bilberryglade._instance import duties, observation, serving, stopping
+from bilberryglade._limits import (
+    peer_handlers as limit_handlers,
+    policies,
+    quotas,
+)
 from bilberryglade._listing import list_client
-from bilberryglade._log import follower, log_client, recorder
+from bilberryglade._log import (
+    follower,
+    knowledge,
+    log_client,
+    log_duties,
+    peer_handlers as log_handlers,
+    recorder,
+    relay,
+)
 from bilberryglade._membership import (
     expulsion,
     heartbeats,
@@ -61,6 +74,8 @@
     peer_handlers,
     membership_handlers,
     ownership_handlers,
+    limit_handlers,
+    log_handlers,
 )
 
 
@@ -80,10 +95,11 @@
             connectors.TCPConnector(pool_configs={':default': pool}),
         )
         platform = config['platform']
+        timings = config['timings']
         self.log = log_client.LogClient(platform['log_url'], self.http)
         self.reader = follower.Follower(
             self.log,
-            config['timings']['log_wait_ms'],
+            timings['log_wait_ms'],
         )
         self.writer = recorder.Recorder(self.log, self.reader)
         self.targets = client.TargetClient(
@@ -102,17 +118,17 @@
             self.boot,
             self.reader,
             self.peers,
-            config['timings'],
+            timings,
         )
-        self.keeper = holder.Holder(self.reader, self.heartbeats)
-        self.prober = probes.Prober(self.targets.fresh)
-        self.granter = leases.Leases(self.keeper, self.targets, self.prober)
+        keeper = holder.Holder(self.reader, self.heartbeats)
+        prober = probes.Prober(self.targets.fresh)
+        self.granter = leases.Leases(keeper, self.targets, prober)
         self.releases = releases.Releases(
-            self.keeper,
+            keeper,
             self.granter,
             self.peers,
         )
-        self.reader.listeners.append(self.keeper.take_view)
+        self.reader.listeners.append(keeper.take_view)
         self.dispatcher = dispatcher.Dispatcher(
             self.targets,
             self.granter.may_dispatch,
@@ -135,18 +151,40 @@
             self.named,
         )
         self.expulsion = expulsion.Expulsion(
-            self.keeper.facts,
+            keeper.facts,
             self.heartbeats,
             self.writer,
             self._join,
         )
         self.reader.listeners.append(self.delivery.forwards.observe)
+        self.relay = relay.Relay(
+            name,
+            config['listen']['peers'],
+            self.reader,
+            self.peers,
+            timings['drift_permille'],
+        )
+        self.heartbeats.listeners.append(self.relay.hear)
+        self.knowledge = knowledge.Knowledge(
+            name,
+            self.reader,
+            self.heartbeats,
+            timings,
+        )
+        self.snapshot_writer = log_duties.SnapshotWriter(name, self.reader)
+        listing = list_client.ListClient(platform['list_url'], self.http)
+        self.cold_start = log_duties.ColdStart(
+            name,
+            self.reader,
+            listing,
+            self.relay,
+        )
         self.duties = duties.Duties(
             config['failure_domain'],
-            self.keeper,
-            self.prober,
+            keeper,
+            prober,
             self.writer,
-            list_client.ListClient(platform['list_url'], self.http),
+            listing,
             self.expulsion.silent_domains,
         )
         self.stopper = stopping.Stopper()
@@ -160,7 +198,24 @@
                 self.log_case,
             ),
         )
-        self.front = callers.CallerFront(self.reader, self.delivery, config)
+        self.quotas = quotas.Quotas(
+            policies.Fleet(
+                instance=name,
+                boot=self.boot,
+                reader=self.reader,
+                peers=self.peers,
+                timings=config['timings'],
+                authority=self.granter,
+            ),
+        )
+        self.reader.listeners.append(self.quotas.follow)
+        self.front = callers.CallerFront(
+            self.reader,
+            self.delivery,
+            self.quotas,
+            self.granter,
+            config,
+        )
         self.admin_front = admin.AdminFront(
             self.operations_context(),
             admin.Probes(self.is_ready, self.observation.metrics.scrape),
@@ -170,16 +225,20 @@
         """Tells whether callers may be sent here.
 
         The record of the join was appended after the start and read back from
-        the fold, so everything before it has been folded too.
+        the fold, so everything before it has been folded too. While the log
+        is down, the newest state of peers takes its place. A process that
+        another one of its name has replaced is not ready any more.
         """
-        if self.stopper.is_requested:
+        if self.stopper.is_requested or not self.reader.is_ready:
             return False
+        if self.reader.known.ready_offset is None:
+            return True
         member = self.reader.view.members.get(self.config['instance'])
         return member is not None and member.boot == self.boot
 
     def log_case(self) -> str:
         """Names the case that the log is in for this instance."""
-        return 'fresh' if self.keeper.is_fresh else 'not_fresh'
+        return self.knowledge.case()
 
     def operations_context(self) -> operations.Context:
         """Returns the parts that operators' operations act on."""
@@ -213,6 +272,9 @@
                 self.expulsion.watch_members(),
                 self.heartbeats.beat(),
                 self.observation.watch(),
+                self.quotas.keep(),
+                self.snapshot_writer.perform(),
+                self.cold_start.wait_until_ready(),
                 self._receive(),
                 self._join(),
                 admin_server.serve(),
@@ -261,6 +323,7 @@
         while not self.stopper.is_requested:
             joined = await self.writer.commit(record, JOIN_SECONDS)
             if isinstance(joined, result.Ok):
+                self.reader.require(joined.ok_value.offset)
                 return
 
     async def _leave(self, seconds: int) -> None:
--- a/src/bilberryglade/_membership/heartbeats.py
+++ b/src/bilberryglade/_membership/heartbeats.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 import typing
+from collections import abc
 
 from bilberryglade._log import follower
 from bilberryglade._membership import signs
@@ -32,6 +33,8 @@
         self.peers = peers
         self.timings = timings
         self.signs: dict[str, signs.Sign] = {}
+        #: Told of each sign of life that is kept.
+        self.listeners: list[abc.Callable[[signs.Sign], None]] = []
         self.sequence = 0
         #: Set before a planned leave is recorded; no vote is given after it.
         self.is_silent = False
@@ -76,7 +79,7 @@
         asked_at = self.sent_at.get(message['sequence'])
         if asked_at is None:
             return
-        self.signs[message['instance']] = signs.Sign(
+        sign = signs.Sign(
             instance=message['instance'],
             boot=message['boot'],
             joined_at=message['joined_at'],
@@ -86,6 +89,9 @@
             asked_at=asked_at,
             heard_at=time.monotonic(),
         )
+        self.signs[sign.instance] = sign
+        for listener in self.listeners:
+            listener(sign)
 
     def _heartbeat(self) -> peer.Heartbeat:
         view = self.reader.view
--- a/src/bilberryglade/_ownership/holder.py
+++ b/src/bilberryglade/_ownership/holder.py
@@ -44,18 +44,13 @@
         """The newest folded state."""
         return self.reader.view
 
-    @property
-    def is_fresh(self) -> bool:
-        """Whether the newest read of the log is young enough to act on."""
-        return self.reader.age_seconds < self.bounds.authority
-
     def facts(self) -> authority.Facts:
         """Returns what the authority of this instance depends on."""
         return authority.Facts(
             view=self.reader.view,
             instance=self.beats.instance,
             boot=self.beats.boot,
-            fresh_at=self.reader.fresh_at,
+            fresh_at=self.reader.known.fresh_at,
             signs=self.beats.signs,
             bounds=self.bounds,
         )
@@ -101,6 +96,14 @@
         group = activation.group_of_target(facts.view, target)
         return authority.authority_until(facts, group)
 
+    def has_general_authority(self) -> bool:
+        """Tells whether this instance may act for roles of no one domain."""
+        until = authority.authority_until(
+            self.facts(),
+            authority.GROUP_OF_ALL,
+        )
+        return time.monotonic() < until
+
     def has_authority(self, target: str) -> bool:
         """Tells whether this instance may act for `target` now."""
         return time.monotonic() < self.authority_until(target)
--- a/src/bilberryglade/_ownership/leases.py
+++ b/src/bilberryglade/_ownership/leases.py
@@ -58,6 +58,11 @@
             self.vacate()
             await self._wait_for_news()
 
+    @property
+    def has_authority(self) -> bool:
+        """Whether the state may be acted on, for roles of no one domain."""
+        return self.keeper.has_general_authority()
+
     def may_dispatch(self, target: str, slot: int) -> int:
         """Returns the fence under which `slot` may be served at `target`.
 
--- a/src/bilberryglade_lab/matrix/pending.py
+++ b/src/bilberryglade_lab/matrix/pending.py
@@ -63,4 +63,5 @@
     ),
     Pending('ownership.grant_to_target', ('freeze_and_return',)),
     Pending('ownership.probe_target', EXCHANGE),
+    Pending('quota.spend_to_forward', ('pause',)),
 )
