--- a/src/bilberryglade/_delivery/delivery.py
+++ b/src/bilberryglade/_delivery/delivery.py
@@ -4,7 +4,13 @@
 import functools
 import time
 
-from bilberryglade._delivery import dispatcher, forwards, once, retry
+from bilberryglade._delivery import (
+    crash_watch,
+    dispatcher,
+    forwards,
+    once,
+    retry,
+)
 from bilberryglade._log import follower
 from bilberryglade._ownership import leases
 from bilberryglade._peers import network
@@ -24,6 +30,7 @@
         local: dispatcher.Dispatcher,
         peers: network.PeerNetwork,
         named: once.Once,
+        watch: crash_watch.CrashWatch,
     ) -> None:
         """Acts as `instance`; `named` runs what callers have named."""
         self.instance = instance
@@ -31,9 +38,12 @@
         self.granter = granter
         self.local = local
         self.named = named
+        self.watch = watch
         self.forwards = forwards.Forwards(
             instance, reader, peers, self.dispatch
         )
+        #: Attempts after the first, since the start.
+        self.retries = 0
         self.budget = retry.Budget()
         #: Work that goes on when its caller has gone.
         self.once: set[asyncio.Task[outcomes.Outcome]] = set()
@@ -46,6 +56,8 @@
 
         A cancellation ends requests that may be repeated, and no others.
         """
+        if self.watch.refuses(request):
+            return outcomes.NotRun(outcomes.Reason.quarantined)
         self.budget = retry.earn(self.budget)
         attempt = request._replace(slot=elsewhere.home_slot(request))
         tried: list[str] = []
@@ -60,6 +72,7 @@
             if isinstance(decision, retry.Answer):
                 return decision.outcome
             self.budget = decision.budget
+            self.retries += 1
             await asyncio.sleep(decision.after_seconds)
             attempt = attempt._replace(
                 slot=slot,
@@ -90,7 +103,14 @@
             return outcomes.NotRun(outcomes.Reason.not_leader)
         if not self.granter.may_dispatch(target.target, request.slot):
             return outcomes.NotRun(outcomes.Reason.no_owner)
-        return await self.local.run(dispatcher.Dispatch(request, target))
+        if self.watch.refuses(request):
+            return outcomes.NotRun(outcomes.Reason.quarantined)
+        dispatch = dispatcher.Dispatch(request, target)
+        return await self.watch.run(
+            request,
+            target,
+            functools.partial(self.local.run, dispatch),
+        )
 
     def _decide(
         self,
--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -11,6 +11,7 @@
 from bilberryglade._admin import application as admin
 from bilberryglade._callers import application as callers
 from bilberryglade._delivery import (
+    crash_watch,
     delivery,
     dispatcher,
     once,
@@ -61,12 +62,14 @@
 #: Shorter than servers usually keep idle connections.
 CONNECTION_IDLE_MS: typing.Final = 1000
 CONNECTIONS_TO_TARGETS: typing.Final = 1024
-#: Time in which successors ask for releases and their answers go out.
-RELEASE_SECONDS: typing.Final = 0.3
 JOIN_SECONDS: typing.Final = 10.0
 ADMIN_STOP_SECONDS: typing.Final = 1
 #: A peer that hears nothing declares this instance lost.
 LEAVE_SECONDS: typing.Final = 1.0
+#: Peers go on forwarding until they have folded the leave.
+HANDOVER_SECONDS: typing.Final = 0.3
+#: Answers to peers leave the sockets' queues.
+FLUSH_SECONDS: typing.Final = 0.1
 REGISTERED: typing.Final = (
     ownership_folds,
     rule_folds,
@@ -142,6 +145,14 @@
             tenures.Tenures(name, self.reader, self.granter),
         )
         self.reader.listeners.append(self.named.observe)
+        self.watch = crash_watch.CrashWatch(
+            name,
+            self.reader,
+            self.writer,
+            self.targets,
+            self.peers,
+        )
+        self.reader.listeners.append(self.watch.observe)
         self.delivery = delivery.Delivery(
             name,
             self.reader,
@@ -149,6 +160,7 @@
             self.dispatcher,
             self.peers,
             self.named,
+            self.watch,
         )
         self.expulsion = expulsion.Expulsion(
             keeper.facts,
@@ -193,6 +205,7 @@
                 name,
                 self.reader,
                 self.dispatcher,
+                self.delivery,
                 self.peers,
                 self.is_ready,
                 self.log_case,
@@ -337,9 +350,9 @@
         if member is not None and member.boot == self.boot:
             record = stopping.leave_record(member)
             await self.writer.commit(record, LEAVE_SECONDS)
-        await asyncio.sleep(RELEASE_SECONDS)
+        await asyncio.sleep(HANDOVER_SECONDS)
         await stopping.wait_until(self.dispatcher.is_idle, seconds)
-        await asyncio.sleep(RELEASE_SECONDS)
+        await asyncio.sleep(FLUSH_SECONDS)
 
     async def _receive(self) -> None:
         while True:
--- a/src/bilberryglade_schema/peer.py
+++ b/src/bilberryglade_schema/peer.py
@@ -275,3 +275,16 @@
     part: int
     parts: int
     body: bytes
+
+
+class TargetDied(TypedDict):
+    """
+    A target died; the fingerprints are of the requests that it was running.
+    """
+
+    kind: Literal['target_died']
+    version: int
+    sender: str
+    death_id: str
+    target: str
+    suspects: list[str]
