--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -162,7 +162,7 @@
             self.named,
             self.watch,
         )
-        self.expulsion = expulsion.Expulsion(
+        watcher = expulsion.Expulsion(
             keeper.facts,
             self.heartbeats,
             self.writer,
@@ -197,7 +197,7 @@
             prober,
             self.writer,
             listing,
-            self.expulsion.silent_domains,
+            watcher,
         )
         self.stopper = stopping.Stopper()
         self.observation = observation.Observation(
@@ -282,7 +282,6 @@
                 self.granter.renew(),
                 self.releases.ask(),
                 self.duties.perform(),
-                self.expulsion.watch_members(),
                 self.heartbeats.beat(),
                 self.observation.watch(),
                 self.quotas.keep(),
--- a/src/bilberryglade/_instance/duties.py
+++ b/src/bilberryglade/_instance/duties.py
@@ -10,7 +10,7 @@
 
 from bilberryglade._listing import list_client
 from bilberryglade._log import recorder
-from bilberryglade._membership import endings
+from bilberryglade._membership import endings, expulsion
 from bilberryglade._ownership import activation, holder, probes
 from bilberryglade._routing import placement, roles
 from bilberryglade._state import folding, state
@@ -36,8 +36,6 @@
     steps.StepKind.append,
 )
 
-SilentDomains: typing.TypeAlias = abc.Callable[[], frozenset[str]]
-
 
 class Duties:
     """What an instance writes to the log for the roles that it holds."""
@@ -49,7 +47,7 @@
         prober: probes.Prober,
         writer: recorder.Recorder,
         listing: list_client.ListClient,
-        silent_domains: SilentDomains,
+        watcher: expulsion.Expulsion,
     ) -> None:
         """Acts as the process of `keeper`, in `failure_domain`."""
         self.instance = keeper.beats.instance
@@ -59,13 +57,14 @@
         self.prober = prober
         self.writer = writer
         self.listing = listing
-        self.silent_domains = silent_domains
+        self.watcher = watcher
         #: Monotonic seconds of the newest assignment of each service.
         self.assigned_at: dict[str, float] = {}
 
     async def perform(self) -> None:
         """Performs the duties again and again until cancelled."""
         await asyncio.gather(
+            self.watcher.watch_members(),
             self._repeat(self._register_targets, INTERVAL_SECONDS),
             self._repeat(self._assign_slots, INTERVAL_SECONDS),
             self._repeat(self._settle, INTERVAL_SECONDS),
@@ -144,7 +143,7 @@
             wanted = placement.plan(
                 view,
                 service,
-                silent=self.silent_domains(),
+                silent=self.watcher.silent_domains(),
                 most_voluntary=self._voluntary(service),
             )
             if wanted is not None:
