--- a/src/bilberryglade/_membership/authority.py
+++ b/src/bilberryglade/_membership/authority.py
@@ -118,7 +118,17 @@
     if own_member(facts) is None:
         return NEVER
     by_votes = quorum_rules.entries[quorum_rule](facts, group)
-    return max(_fresh_until(facts), by_votes)
+    return max(fresh_until(facts), by_votes)
+
+
+def has_authority(facts: Facts, group: str, now: float) -> bool:
+    """Tells whether the instance may act at `now`.
+
+    Votes are counted only where no read is young enough.
+    """
+    if own_member(facts) is None:
+        return False
+    return now < fresh_until(facts) or now < authority_until(facts, group)
 
 
 @quorum_rules.register('majority')
@@ -135,7 +145,7 @@
     return weakest + facts.bounds.authority
 
 
-def _fresh_until(facts: Facts) -> float:
+def fresh_until(facts: Facts) -> float:
     """Returns until when a read gives authority.
 
     A peer that knows of a newer change shows that a stale replica answered.
--- a/src/bilberryglade/_membership/tests/test_authority.py
+++ b/src/bilberryglade/_membership/tests/test_authority.py
@@ -27,6 +27,23 @@
         """A read counts from when it began."""
         self.assertEqual(self.until(fresh_at=5), 7)
 
+    def test_either_is_enough(self) -> None:
+        """A young read or votes give authority; neither gives none."""
+        sign = clusters.sign_of(self.view, 'entry-b', 10)
+        cases = (
+            (5, (), 6, True),
+            (5, (), 8, False),
+            (5, (sign,), 11, True),
+            (5, (sign,), 12, False),
+        )
+        for fresh_at, signs, now, expected in cases:
+            facts = clusters.facts_of(self.view, 'entry-a', signs, fresh_at)
+            with self.subTest(signs=signs, now=now):
+                self.assertEqual(
+                    authority.has_authority(facts, '', now),
+                    expected,
+                )
+
     def test_votes_of_majority(self) -> None:
         """A majority counts from the oldest heartbeat it needs."""
         cases = (((), authority.NEVER), (('entry-b',), 12))
--- a/src/bilberryglade/_ownership/holder.py
+++ b/src/bilberryglade/_ownership/holder.py
@@ -98,15 +98,17 @@
 
     def has_general_authority(self) -> bool:
         """Tells whether this instance may act for roles of no one domain."""
-        until = authority.authority_until(
+        return authority.has_authority(
             self.facts(),
             authority.GROUP_OF_ALL,
+            time.monotonic(),
         )
-        return time.monotonic() < until
 
     def has_authority(self, target: str) -> bool:
         """Tells whether this instance may act for `target` now."""
-        return time.monotonic() < self.authority_until(target)
+        facts = self.facts()
+        group = activation.group_of_target(facts.view, target)
+        return authority.has_authority(facts, group, time.monotonic())
 
     def take_release(
         self,
