--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -35,12 +35,19 @@
     relay,
 )
 from bilberryglade._membership import (
+    expulsion,
     heartbeats,
     peer_handlers as membership_handlers,
 )
 from bilberryglade._observability import readings
 from bilberryglade._operations import operations
-from bilberryglade._ownership import leases
+from bilberryglade._ownership import (
+    holder,
+    leases,
+    peer_handlers as ownership_handlers,
+    probes,
+    releases,
+)
 from bilberryglade._peers import network
 from bilberryglade._state import (
     folding,
@@ -69,6 +76,7 @@
     topology_folds,
     peer_handlers,
     membership_handlers,
+    ownership_handlers,
     limit_handlers,
     log_handlers,
 )
@@ -103,12 +111,6 @@
                 answer_bytes=config['limits']['body_bytes'],
             ),
         )
-        self.granter = leases.Leases(
-            name,
-            self.reader,
-            self.targets,
-            timings,
-        )
         self.peers = network.PeerNetwork(
             config['listen']['peers'],
             config['peers'],
@@ -121,11 +123,21 @@
             self.peers,
             timings,
         )
+        keeper = holder.Holder(self.reader, self.heartbeats)
+        prober = probes.Prober(self.targets.fresh)
+        self.granter = leases.Leases(keeper, self.targets, prober)
+        self.releases = releases.Releases(
+            keeper,
+            self.granter,
+            self.peers,
+        )
+        self.reader.listeners.append(keeper.take_view)
         self.dispatcher = dispatcher.Dispatcher(
             self.targets,
             self.granter.may_dispatch,
             config['limits']['queue_length'],
         )
+        self.granter.running = self.dispatcher.running_slots
         self.reader.listeners.append(self.dispatcher.observe)
         self.named = once.Once(
             name,
@@ -150,6 +162,12 @@
             self.named,
             self.watch,
         )
+        watcher = expulsion.Expulsion(
+            keeper.facts,
+            self.heartbeats,
+            self.writer,
+            self._join,
+        )
         self.reader.listeners.append(self.delivery.forwards.observe)
         self.relay = relay.Relay(
             name,
@@ -174,11 +192,12 @@
             self.relay,
         )
         self.duties = duties.Duties(
-            name,
             config['failure_domain'],
-            self.reader,
+            keeper,
+            prober,
             self.writer,
             listing,
+            watcher,
         )
         self.stopper = stopping.Stopper()
         self.observation = observation.Observation(
@@ -261,6 +280,7 @@
             for loop in (
                 self.reader.follow(),
                 self.granter.renew(),
+                self.releases.ask(),
                 self.duties.perform(),
                 self.heartbeats.beat(),
                 self.named.follow(),
@@ -320,7 +340,12 @@
                 return
 
     async def _leave(self, seconds: int) -> None:
-        """Gives up every role, then lets forwarded requests end."""
+        """Gives up every role, then lets forwarded requests end.
+
+        No vote is given from before the record on, so that its readers can
+        count on it; successors then have time to ask for releases.
+        """
+        self.heartbeats.is_silent = True
         member = self.reader.view.members.get(self.config['instance'])
         if member is not None and member.boot == self.boot:
             record = stopping.leave_record(member)
--- a/src/bilberryglade/_log/knowledge.py
+++ b/src/bilberryglade/_log/knowledge.py
@@ -5,7 +5,7 @@
 from collections import abc
 
 from bilberryglade._log import follower
-from bilberryglade._membership import heartbeats
+from bilberryglade._membership import heartbeats, signs as peer_signs
 from bilberryglade._state import state
 from bilberryglade_schema import settings
 
@@ -100,7 +100,7 @@
     view: state.ClusterState,
     instance: str,
     fresh_at: float,
-    signs: abc.Iterable[heartbeats.Sign],
+    signs: abc.Iterable[peer_signs.Sign],
 ) -> Evidence:
     """Returns the evidence of `instance` from the heartbeats that it heard."""
     own = view.members.get(instance)
@@ -122,7 +122,7 @@
     )
 
 
-def _word(member: state.Member, sign: heartbeats.Sign) -> Word:
+def _word(member: state.Member, sign: peer_signs.Sign) -> Word:
     return Word(
         instance=sign.instance,
         failure_domain=member.failure_domain,
--- a/src/bilberryglade/_log/relay.py
+++ b/src/bilberryglade/_log/relay.py
@@ -4,7 +4,7 @@
 import typing
 
 from bilberryglade._log import chunks, follower, intake
-from bilberryglade._membership import heartbeats
+from bilberryglade._membership import signs
 from bilberryglade._peers import handlers, network
 from bilberryglade._values import steps
 from bilberryglade_schema import peer
@@ -125,7 +125,7 @@
         #: Monotonic seconds of the last state given, by peer.
         self.given_at: dict[str, float] = {}
 
-    def hear(self, sign: heartbeats.Sign) -> None:
+    def hear(self, sign: signs.Sign) -> None:
         """Takes a peer's offset and age; asks for records if it is ahead."""
         as_of = known_at(
             sign.asked_at,
--- a/src/bilberryglade/_log/tests/test_knowledge.py
+++ b/src/bilberryglade/_log/tests/test_knowledge.py
@@ -4,7 +4,7 @@
 import unittest
 
 from bilberryglade._log import knowledge
-from bilberryglade._membership import heartbeats
+from bilberryglade._membership import signs as peer_signs
 from bilberryglade._state import state
 
 BOUNDS = knowledge.Bounds(fresh_seconds=1, word_seconds=0.8)
@@ -96,7 +96,7 @@
             member = state.Member(name, 'boot', domain, '', '', 1)
             view = view._replace(members=view.members.set(name, member))
         signs = [
-            heartbeats.Sign(name, 'boot', 1, 7, 2, NOW, NOW)
+            peer_signs.Sign(name, 'boot', 1, 7, 2, NOW, NOW, 7)
             for name in ('c', 'stranger')
         ]
         seen = knowledge.evidence_of(view, 'a', NOW, signs)
--- a/src/bilberryglade/_log/tests/test_relay.py
+++ b/src/bilberryglade/_log/tests/test_relay.py
@@ -17,7 +17,7 @@
     relay,
 )
 from bilberryglade._log.tests import fake_log
-from bilberryglade._membership import heartbeats
+from bilberryglade._membership import signs
 from bilberryglade._peers import handlers, network
 from bilberryglade._state import state
 from bilberryglade._state.tests import test_folding
@@ -106,7 +106,7 @@
     def hear(self, age_seconds: float = 0) -> None:
         """Lets `cut` hear a heartbeat's answer of `near`."""
         offset = self.near.reader.view.offset
-        sign = heartbeats.Sign('near', '', 1, offset, age_seconds, NOW, NOW)
+        sign = signs.Sign('near', '', 1, offset, age_seconds, NOW, NOW, offset)
         self.cut.relay.hear(sign)
 
     async def test_records_and_age_travel(self) -> None:
