At most once over real processes: shared runs, and all instances replaced

The earlier test of claims sent no `Idempotency-Key`, which the callers' listener now demands (400 idempotency_key_missing). It is replaced by a stricter one: each claim goes to every instance at once and once more later, and runs once. A second one kills and replaces every instance and sees `already_tried` (409, unknown).

--- a/src/bilberryglade/_targets/answers.py
+++ b/src/bilberryglade/_targets/answers.py
@@ -1,7 +1,7 @@
 """Answers of targets: whole and framed, or not taken as answers."""
 
+import contextlib
 import typing
-from contextlib import aclosing
 
 import aiosonic
 
@@ -55,7 +55,7 @@
         return b''
     parts: list[bytes] = []
     size = 0
-    async with aclosing(response.read_chunks()) as chunks:
+    async with contextlib.aclosing(response.read_chunks()) as chunks:
         async for chunk in chunks:
             size += len(chunk)
             if size > most_bytes:
--- a/src/bilberryglade/_values/requests.py
+++ b/src/bilberryglade/_values/requests.py
@@ -2,8 +2,6 @@
 
 import typing
 
-import xxhash
-
 from bilberryglade._values import outcomes
 
 
@@ -38,9 +36,3 @@
 def caller_request_id(request_id: str) -> str:
     """Returns the id that all attempts of one request share."""
     return request_id.partition('.')[0]
-
-
-def idempotency_digest_of(organisation: str, name: str) -> str:
-    """Returns the digest of a caller's `Idempotency-Key`, 32 hex digits."""
-    digest = xxhash.xxh3_128(f'{organisation}\n{name}'.encode())
-    return str(digest.hexdigest())
--- a/src/bilberryglade_lab/tests/test_outcomes.py
+++ b/src/bilberryglade_lab/tests/test_outcomes.py
@@ -1,17 +1,20 @@
 """Outcomes over real processes."""
 
 import asyncio
+import contextlib
 import time
 import typing
 import unittest
 
 import msgspec
+from aiosonic import exceptions
 
 from bilberryglade_lab import deployment, shapes
 from bilberryglade_schema import platform
 
 POISONED: typing.Final = 'child-13'
 PATIENCE_SECONDS: typing.Final = 20.0
+NOT_YET: typing.Final = 503
 
 
 class OutcomesTest(unittest.IsolatedAsyncioTestCase):
@@ -24,20 +27,35 @@
         await self.deployment.start()
 
     async def test_claims_run_once_whatever_the_entry(self) -> None:
-        """Each claim that was sent ran once, forwarded or not."""
-        bodies = [f'claim-{number}'.encode() for number in range(24)]
+        """Repeats at the same moment, anywhere and later, share one run."""
         names = list(self.deployment.instances)
-        for number, body in enumerate(bodies):
-            answer = await self.deployment.call(
-                names[number % len(names)],
-                'minders',
-                '/claims',
-                'POST',
-                body,
-            )
-            self.assertEqual(answer, (200, body))
+        for number in range(6):
+            body = f'claim-{number}'.encode()
+            calls = [self._claim(name, body) for name in names]
+            told = [
+                *await asyncio.gather(*calls),
+                await self._claim(names[number % len(names)], body),
+            ]
+            self.assertEqual(set(told), {(200, body)})
+        ran = [entry for entry in await self._journal() if _is_claim(entry)]
+        self.assertEqual(len(ran), 6)
+
+    async def test_repeat_after_the_leaders_are_gone(self) -> None:
+        """Instances that replace all others do not run a claim again."""
+        body = b'claim'
+        names = list(self.deployment.instances)
+        await self._claim(names[0], body)
+        processes = [self.deployment.running[name] for name in names]
+        for process in processes:
+            process.handle.kill()
+        for number, lost in enumerate(processes):
+            await lost.handle.wait()
+            await self.deployment.start_instance(number)
+        told = await self._until_tried(names[1], body)
+        self.assertEqual(told[0], 409)
+        self.assertIn(b'unknown', told[1])
         ran = [entry for entry in await self._journal() if _is_claim(entry)]
-        self.assertEqual(len(ran), len(bodies))
+        self.assertEqual(len(ran), 1)
 
     async def test_poisoned_request_is_quarantined(self) -> None:
         """A request that crashes its target again and again is refused."""
@@ -71,6 +89,32 @@
             await asyncio.sleep(0.3)
         self.fail('the request is not in quarantine')
 
+    async def _until_tried(
+        self,
+        instance: str,
+        body: bytes,
+    ) -> tuple[int, bytes]:
+        """Repeats a claim until it is not refused for want of an owner."""
+        deadline = time.monotonic() + PATIENCE_SECONDS
+        told = (NOT_YET, b'')
+        while told[0] == NOT_YET and time.monotonic() < deadline:
+            await asyncio.sleep(0.2)
+            with contextlib.suppress(exceptions.AiosonicError, OSError):
+                told = await self._claim(instance, body)
+        return told
+
+    async def _claim(self, instance: str, body: bytes) -> tuple[int, bytes]:
+        port = self.deployment.instances[instance].caller_port
+        response = await self.deployment.http.post(
+            f'http://127.0.0.1:{port}/claims',
+            headers={
+                'authorization': 'Bearer secret-of-minders',
+                'idempotency-key': body.decode(),
+            },
+            data=body,
+        )
+        return response.status_code, await response.content()
+
     async def _journal(self) -> list[platform.JournalEntry]:
         journals = [
             await self.deployment.journal(target)
