Command line: wrong files, addresses and names are usage errors, not tracebacks

A missing settings or token file and a port that is no number ended in a traceback with status 1. Names are checked against the schema before they are sent, so one such as ../x can't name another path of the API.

--- a/src/bilberryglade/_commands/connections.py
+++ b/src/bilberryglade/_commands/connections.py
@@ -1,7 +1,6 @@
 """The command line's connection to the administration API."""
 
 import os
-import pathlib
 import typing
 import uuid
 from collections import abc
@@ -10,7 +9,12 @@
 import result
 from aiosonic import exceptions, timeout
 
-from bilberryglade._admin import application, description
+from bilberryglade._admin import (
+    application,
+    decoding,
+    description,
+    problems,
+)
 from bilberryglade._codec import codec
 from bilberryglade._operations import operations
 from bilberryglade_schema import admin
@@ -57,6 +61,9 @@
     ) -> result.Result[typing.Any, CallFailure]:
         """Calls the operation `name`; returns its answer or what went wrong."""
         operation = operations.operations.entries[name]
+        checked = decoding.check(operation, dict(request))
+        if isinstance(checked, result.Err):
+            return result.Err(problems.document(checked.err_value))
         key = idempotency_key or uuid.uuid4().hex
         async with aiosonic.HTTPClient() as http:
             try:
@@ -133,19 +140,10 @@
         )
 
 
-def connect(address: str, token_file: pathlib.Path | None) -> ApiConnection:
-    """Returns a connection with the operators' token."""
-    return ApiConnection(address, read_token(token_file))
-
-
-def read_token(path: pathlib.Path | None) -> str:
-    """Returns the operators' token from the file or the environment."""
-    named = os.environ.get(TOKEN_FILE_VARIABLE, '')
-    if path is None and named:
-        path = pathlib.Path(named)
-    if path is None:
-        return os.environ.get(TOKEN_VARIABLE, '')
-    return path.read_text().strip()
+def connect(address: str, token: str) -> ApiConnection:
+    """Returns a connection; without a token the environment's is taken."""
+    chosen = token or os.environ.get(TOKEN_VARIABLE, '')
+    return ApiConnection(address, chosen)
 
 
 def _decoded(
--- a/src/bilberryglade/_commands/run.py
+++ b/src/bilberryglade/_commands/run.py
@@ -19,7 +19,12 @@
     ],
 ) -> int:
     """Runs an entry instance until SIGTERM."""
-    checked = config.read_settings(settings.read_bytes())
+    try:
+        raw = settings.read_bytes()
+    except OSError as failure:
+        output.write_error(f'{settings}: {failure}')
+        return statuses.ExitStatus.usage
+    checked = config.read_settings(raw)
     if isinstance(checked, result.Err):
         for error in checked.err_value:
             output.write_error(f'{settings}: {config.line_of(error)}')
