--- a/src/bilberryglade/_callers/tests/test_intake.py
+++ b/src/bilberryglade/_callers/tests/test_intake.py
@@ -30,7 +30,10 @@
     method: str = 'GET',
 ) -> result.Result[intake.Accepted, outcomes.Reason]:
     raw = intake.Raw(method, path, query, _headers(*headers))
-    return intake.accept(caller_front.Fake().view, raw, 5)
+    view = caller_front.Fake().view
+    return intake.identify(view, raw.headers).and_then(
+        lambda caller: intake.accept(view, caller, raw, 5),
+    )
 
 
 class KeyTest(unittest.TestCase):
--- a/src/bilberryglade/_limits/quotas.py
+++ b/src/bilberryglade/_limits/quotas.py
@@ -25,11 +25,24 @@
 #: Shortest delay of a timer.
 SHORTEST_SECONDS: typing.Final = 0.0005
 
+#: A token that was spent for longer may not be acted on any more.
+FRESH_SECONDS: typing.Final = 0.05
+
 steps.declare('quota.ask', steps.StepKind.message)
 steps.declare('quota.grant', steps.StepKind.message)
+steps.declare('quota.handover', steps.StepKind.message)
 steps.declare('quota.spend_to_forward', steps.StepKind.check_to_act)
 
 
+class Decision(typing.NamedTuple):
+    """What became of a caller's wish for a token."""
+
+    #: None if a token was spent.
+    outcome: outcomes.NotRun | None
+    #: Monotonic seconds.
+    at: float
+
+
 @policies.admission_policies.register('home')
 class Quotas:
     """Admits with tokens of each quota's home, which may be this instance."""
@@ -44,7 +57,7 @@
         )
         self.home = homes.Home(fleet.instance, fleet.boot, spans)
         self.desks: dict[tokens.QuotaName, desks.Desk] = {}
-        self.callers: dict[int, asyncio.Future[outcomes.NotRun | None]] = {}
+        self.callers: dict[int, asyncio.Future[Decision]] = {}
         self.numbers = itertools.count()
         self.timers: dict[tokens.QuotaName, asyncio.TimerHandle] = {}
 
@@ -54,25 +67,41 @@
         return self.fleet.reader.view
 
     def follow(self, view: state.ClusterState) -> None:
-        """Takes note of a new state of the log."""
-        self.home = homes.observe(self.home, view, time.monotonic())
+        """Takes note of a new state of the log; hands over moved quotas."""
+        observed = homes.observe(self.home, view, time.monotonic())
+        self.home = observed.home
+        for handover in observed.handovers:
+            member = view.members.get(roles.quota_home(view, *handover.name))
+            if member is not None:
+                message = _handover_message(self.fleet.instance, handover)
+                self.fleet.peers.send(member.peer_address, message)
+
+    def take_handover(self, message: peer.QuotaHandover) -> None:
+        """Takes what an old home hands over."""
+        handover = tokens.Handover(
+            tokens.QuotaName(message['organisation'], message['limit']),
+            message['term'],
+            message['level'],
+            message['given'],
+        )
+        self.home = homes.receive(self.home, handover, time.monotonic())
 
     async def admit(
         self,
         name: tokens.QuotaName,
         limit: tokens.Limit,
     ) -> outcomes.NotRun | None:
-        """Returns None if a token was spent for the request."""
-        number = next(self.numbers)
-        answer: asyncio.Future[outcomes.NotRun | None] = asyncio.Future()
-        self.callers[number] = answer
-        step = desks.arrive(self._desk(name), number, limit, time.monotonic())
-        self._perform(name, step)
-        try:
-            return await answer
-        finally:
-            self.callers.pop(number, None)
-            self.desks[name] = desks.withdraw(self._desk(name), number)
+        """Returns None if a token was spent for the request just now.
+
+        After a pause between the spending and its use the token is lost and
+        another is spent, so that what was held up does not come in a bunch.
+        """
+        while True:
+            decision = await self._decide(name, limit)
+            if decision.outcome is not None:
+                return decision.outcome
+            if time.monotonic() - decision.at < FRESH_SECONDS:
+                return None
 
     async def keep(self) -> None:
         """Returns idle tokens, again and again until cancelled."""
@@ -104,6 +133,22 @@
         )
         self._granted(name, grant)
 
+    async def _decide(
+        self,
+        name: tokens.QuotaName,
+        limit: tokens.Limit,
+    ) -> Decision:
+        number = next(self.numbers)
+        answer: asyncio.Future[Decision] = asyncio.Future()
+        self.callers[number] = answer
+        step = desks.arrive(self._desk(name), number, limit, time.monotonic())
+        self._perform(name, step)
+        try:
+            return await answer
+        finally:
+            self.callers.pop(number, None)
+            self.desks[name] = desks.withdraw(self._desk(name), number)
+
     def _desk(self, name: tokens.QuotaName) -> desks.Desk:
         known = self.desks.get(name)
         if known is None:
@@ -130,8 +175,8 @@
         limit = limits.find_limit(view.rules.book, name)
         if limit is None:
             return tokens.Grant(ask.sequence, 0, 1.0)
+        self.follow(view)
         now = time.monotonic()
-        self.home = homes.observe(self.home, view, now)
         answered = homes.answer(
             self.home,
             name,
@@ -157,7 +202,7 @@
     def _resolve(self, number: int, outcome: outcomes.NotRun | None) -> None:
         answer = self.callers.get(number)
         if answer is not None and not answer.done():
-            answer.set_result(outcome)
+            answer.set_result(Decision(outcome, time.monotonic()))
 
     def _send(self, name: tokens.QuotaName, ask: tokens.Ask) -> None:
         view = self.view
@@ -240,3 +285,19 @@
         'retry_us': int(grant.retry_seconds * MILLISECONDS * MILLISECONDS),
         'confirmed': grant.confirmed,
     }
+
+
+def _handover_message(
+    instance: str,
+    handover: tokens.Handover,
+) -> peer.QuotaHandover:
+    return {
+        'kind': 'quota_handover',
+        'version': handlers.VERSION,
+        'instance': instance,
+        'organisation': handover.name.organisation,
+        'limit': handover.name.limit,
+        'term': handover.term,
+        'level': handover.level,
+        'given': handover.given,
+    }
--- a/src/bilberryglade_lab/matrix/limits_cases.py
+++ b/src/bilberryglade_lab/matrix/limits_cases.py
@@ -1,5 +1,6 @@
 """Rows of the quota protocol: faults at asks, grants, and spent tokens."""
 
+import asyncio
 import functools
 import random
 import types
@@ -8,11 +9,13 @@
 from bilberryglade._limits import tokens
 from bilberryglade._routing import roles
 from bilberryglade_lab.experiments import limits_model
+from bilberryglade_lab.fakes import quota_entry
 from bilberryglade_lab.matrix import rows
 from bilberryglade_lab.observers import violations
 
 ASK: typing.Final = 'quota.ask'
 GRANT: typing.Final = 'quota.grant'
+HANDOVER: typing.Final = 'quota.handover'
 SPEND: typing.Final = 'quota.spend_to_forward'
 QUOTA: typing.Final = tokens.QuotaName('press', 'allow|listing')
 LIMIT: typing.Final = tokens.Limit(rate=40, burst=6)
@@ -144,10 +147,42 @@
     return judged(fleet)
 
 
+@rows.row(HANDOVER, *FAULTS)
+def check_handovers(seed: int) -> list[violations.Violation]:
+    """Moves the home by a join, and strikes the handover and its ends."""
+    chance = random.Random(seed)
+    struck = frozenset(chance.sample(FAULTS, 2))
+    fleet = Struck(seed, struck)
+    for fault in struck & LINKS.keys():
+        fleet.handovers = LINKS[fault]
+    for number in range(3):
+        moment = START_SECONDS + chance.uniform(0, TRAFFIC_SECONDS)
+        joining = functools.partial(fleet.join, f'entry-new-{number}')
+        fleet.at(moment, joining)
+    return judged(fleet)
+
+
+@rows.row(SPEND, 'pause')
+def check_spent_token(seed: int) -> list[violations.Violation]:
+    """A token that was spent before a pause admits nothing after it."""
+    seconds = random.Random(seed).uniform(0.06, 30)
+    return asyncio.run(_spend_over_pause(seconds))
+
+
+async def _spend_over_pause(seconds: float) -> list[violations.Violation]:
+    entry = quota_entry.FakeEntry()
+    admission = await entry.admit_over_pause(seconds)
+    if admission.done():
+        return [violations.Violation('rate_and_burst', 'a stale token')]
+    admission.cancel()
+    return []
+
+
 def _exclude() -> None:
     for irrelevant, cause in IRRELEVANT.items():
         rows.not_applicable(ASK, irrelevant, cause)
         rows.not_applicable(GRANT, irrelevant, cause)
+        rows.not_applicable(HANDOVER, irrelevant, cause)
         rows.not_applicable(SPEND, irrelevant, cause)
     for elsewhere in (
         'log_down',
--- a/src/bilberryglade_schema/peer.py
+++ b/src/bilberryglade_schema/peer.py
@@ -249,3 +249,18 @@
     death_id: str
     target: str
     suspects: list[str]
+
+
+class QuotaHandover(TypedDict):
+    """
+    An old quota home's last word, for the home that follows it by the change at offset `term`.
+    """
+
+    kind: Literal['quota_handover']
+    version: int
+    instance: str
+    organisation: str
+    limit: str
+    term: int
+    level: float
+    given: int
