--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -217,7 +217,7 @@
                 boot=self.boot,
                 reader=self.reader,
                 peers=self.peers,
-                timings=config['timings'],
+                timings=timings,
                 authority=self.granter,
             ),
         )
@@ -283,6 +283,7 @@
                 self.releases.ask(),
                 self.duties.perform(),
                 self.heartbeats.beat(),
+                self.named.follow(),
                 self.observation.watch(),
                 self.quotas.keep(),
                 self.snapshot_writer.perform(),
--- a/src/bilberryglade_lab/matrix/pending.py
+++ b/src/bilberryglade_lab/matrix/pending.py
@@ -63,5 +63,4 @@
     ),
     Pending('ownership.grant_to_target', ('freeze_and_return',)),
     Pending('ownership.probe_target', EXCHANGE),
-    Pending('quota.spend_to_forward', ('pause',)),
 )
