--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -11,6 +11,7 @@
 from bilberryglade._admin import application as admin
 from bilberryglade._callers import application as callers
 from bilberryglade._delivery import (
+    crash_watch,
     delivery,
     dispatcher,
     once,
@@ -24,7 +25,15 @@
     quotas,
 )
 from bilberryglade._listing import list_client
-from bilberryglade._log import follower, log_client, recorder
+from bilberryglade._log import (
+    follower,
+    knowledge,
+    log_client,
+    log_duties,
+    peer_handlers as log_handlers,
+    recorder,
+    relay,
+)
 from bilberryglade._membership import (
     heartbeats,
     peer_handlers as membership_handlers,
@@ -50,6 +59,10 @@
 ADMIN_STOP_SECONDS: typing.Final = 1
 #: A peer that hears nothing declares this instance lost.
 LEAVE_SECONDS: typing.Final = 1.0
+#: Peers go on forwarding until they have folded the leave.
+HANDOVER_SECONDS: typing.Final = 0.3
+#: Answers to peers leave the sockets' queues.
+FLUSH_SECONDS: typing.Final = 0.1
 REGISTERED: typing.Final = (
     ownership_folds,
     rule_folds,
@@ -57,6 +70,7 @@
     peer_handlers,
     membership_handlers,
     limit_handlers,
+    log_handlers,
 )
 
 
@@ -76,10 +90,11 @@
             connectors.TCPConnector(pool_configs={':default': pool}),
         )
         platform = config['platform']
+        timings = config['timings']
         self.log = log_client.LogClient(platform['log_url'], self.http)
         self.reader = follower.Follower(
             self.log,
-            config['timings']['log_wait_ms'],
+            timings['log_wait_ms'],
         )
         self.writer = recorder.Recorder(self.log, self.reader)
         self.targets = client.TargetClient(
@@ -92,7 +107,7 @@
             name,
             self.reader,
             self.targets,
-            config['timings'],
+            timings,
         )
         self.peers = network.PeerNetwork(
             config['listen']['peers'],
@@ -104,7 +119,7 @@
             self.boot,
             self.reader,
             self.peers,
-            config['timings'],
+            timings,
         )
         self.dispatcher = dispatcher.Dispatcher(
             self.targets,
@@ -118,6 +133,14 @@
             tenures.Tenures(name, self.reader, self.granter),
         )
         self.reader.listeners.append(self.named.observe)
+        self.watch = crash_watch.CrashWatch(
+            name,
+            self.reader,
+            self.writer,
+            self.targets,
+            self.peers,
+        )
+        self.reader.listeners.append(self.watch.observe)
         self.delivery = delivery.Delivery(
             name,
             self.reader,
@@ -125,14 +148,37 @@
             self.dispatcher,
             self.peers,
             self.named,
+            self.watch,
         )
         self.reader.listeners.append(self.delivery.forwards.observe)
+        self.relay = relay.Relay(
+            name,
+            config['listen']['peers'],
+            self.reader,
+            self.peers,
+            timings['drift_permille'],
+        )
+        self.heartbeats.listeners.append(self.relay.hear)
+        self.knowledge = knowledge.Knowledge(
+            name,
+            self.reader,
+            self.heartbeats,
+            timings,
+        )
+        self.snapshot_writer = log_duties.SnapshotWriter(name, self.reader)
+        listing = list_client.ListClient(platform['list_url'], self.http)
+        self.cold_start = log_duties.ColdStart(
+            name,
+            self.reader,
+            listing,
+            self.relay,
+        )
         self.duties = duties.Duties(
             name,
             config['failure_domain'],
             self.reader,
             self.writer,
-            list_client.ListClient(platform['list_url'], self.http),
+            listing,
         )
         self.stopper = stopping.Stopper()
         self.observation = observation.Observation(
@@ -140,6 +186,7 @@
                 name,
                 self.reader,
                 self.dispatcher,
+                self.delivery,
                 self.peers,
                 self.is_ready,
                 self.log_case,
@@ -172,16 +219,20 @@
         """Tells whether callers may be sent here.
 
         The record of the join was appended after the start and read back from
-        the fold, so everything before it has been folded too.
+        the fold, so everything before it has been folded too. While the log
+        is down, the newest state of peers takes its place. A process that
+        another one of its name has replaced is not ready any more.
         """
-        if self.stopper.is_requested:
+        if self.stopper.is_requested or not self.reader.is_ready:
             return False
+        if self.reader.known.ready_offset is None:
+            return True
         member = self.reader.view.members.get(self.config['instance'])
         return member is not None and member.boot == self.boot
 
     def log_case(self) -> str:
         """Names the case that the log is in for this instance."""
-        return 'fresh' if self.granter.has_authority else 'not_fresh'
+        return self.knowledge.case()
 
     def operations_context(self) -> operations.Context:
         """Returns the parts that operators' operations act on."""
@@ -214,6 +265,8 @@
                 self.heartbeats.beat(),
                 self.observation.watch(),
                 self.quotas.keep(),
+                self.snapshot_writer.perform(),
+                self.cold_start.wait_until_ready(),
                 self._receive(),
                 self._join(),
                 admin_server.serve(),
@@ -262,6 +315,7 @@
         while not self.stopper.is_requested:
             joined = await self.writer.commit(record, JOIN_SECONDS)
             if isinstance(joined, result.Ok):
+                self.reader.require(joined.ok_value.offset)
                 return
 
     async def _leave(self, seconds: int) -> None:
@@ -270,7 +324,9 @@
         if member is not None and member.boot == self.boot:
             record = stopping.leave_record(member)
             await self.writer.commit(record, LEAVE_SECONDS)
+        await asyncio.sleep(HANDOVER_SECONDS)
         await stopping.wait_until(self.dispatcher.is_idle, seconds)
+        await asyncio.sleep(FLUSH_SECONDS)
 
     async def _receive(self) -> None:
         while True:
