--- a/src/bilberryglade_lab/deployment.py
+++ b/src/bilberryglade_lab/deployment.py
@@ -5,6 +5,7 @@
 import pathlib
 import tempfile
 import typing
+import uuid
 
 import aiosonic
 import msgspec
@@ -148,14 +149,22 @@
         path: str,
         method: str = 'GET',
         body: bytes | None = None,
+        *,
+        idempotency_key: str = '',
     ) -> tuple[int, bytes]:
-        """Sends a request to an instance; returns status and body."""
+        """Sends a request to an instance; returns status and body.
+
+        Each request has a name of its own unless `idempotency_key` is given.
+        """
         port = self.instances[instance].caller_port
         secret = self.secrets[organisation]
         response = await self.http.request(
             f'http://127.0.0.1:{port}{path}',
             method,
-            headers={'authorization': f'Bearer {secret}'},
+            headers={
+                'authorization': f'Bearer {secret}',
+                'idempotency-key': idempotency_key or uuid.uuid4().hex,
+            },
             data=body,
             timeouts=timeout.Timeouts(request_timeout=START_SECONDS),
         )
--- a/src/bilberryglade_lab/fakes/caller_front.py
+++ b/src/bilberryglade_lab/fakes/caller_front.py
@@ -119,9 +119,8 @@
         'query_string': query.encode(),
         'headers': [(name.encode(), text.encode()) for name, text in headers],
     }
-    await application.application(front, lambda exchange: None)(
-        scope, receive, send
-    )
+    listener = application.application(front, _ignore)
+    await listener(scope, receive, send)
     return Answer(
         sent[0]['status'],
         {name.decode(): text.decode() for name, text in sent[0]['headers']},
--- a/src/bilberryglade_schema/peer.py
+++ b/src/bilberryglade_schema/peer.py
@@ -172,21 +172,6 @@
     confirmed: bool
 
 
-class QuotaHandover(TypedDict):
-    """
-    An old quota home's last word, for the home that follows it by the change at offset `term`.
-    """
-
-    kind: Literal['quota_handover']
-    version: int
-    instance: str
-    organisation: str
-    limit: str
-    term: int
-    level: float
-    given: int
-
-
 class RelayedRecord(TypedDict, closed=True):
     """
     A record of the control stream with its offset.
@@ -264,3 +249,18 @@
     death_id: str
     target: str
     suspects: list[str]
+
+
+class QuotaHandover(TypedDict):
+    """
+    An old quota home's last word, for the home that follows it by the change at offset `term`.
+    """
+
+    kind: Literal['quota_handover']
+    version: int
+    instance: str
+    organisation: str
+    limit: str
+    term: int
+    level: float
+    given: int
