Quota homes and open routes go on while the log is down for all

A log outage took the authority of every home, so that all quotas were refused. Authority now comes from the word of the other failure domains too; a home that is cut off from the log and from such a word stops as before (test_authority).

--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -20,6 +20,7 @@
 )
 from bilberryglade._instance import duties, observation, serving, stopping
 from bilberryglade._limits import (
+    authority,
     peer_handlers as limit_handlers,
     policies,
     quotas,
@@ -192,6 +193,10 @@
                 self.log_case,
             ),
         )
+        confirmed = authority.ConfirmedAuthority(
+            self.knowledge,
+            config['timings']['authority_ms'],
+        )
         self.quotas = quotas.Quotas(
             policies.Fleet(
                 instance=name,
@@ -199,7 +204,7 @@
                 reader=self.reader,
                 peers=self.peers,
                 timings=timings,
-                authority=self.granter,
+                authority=confirmed,
             ),
         )
         self.reader.listeners.append(self.quotas.follow)
@@ -207,7 +212,7 @@
             self.reader,
             self.delivery,
             self.quotas,
-            self.granter,
+            confirmed,
             config,
         )
         self.admin_front = admin.AdminFront(
--- a/src/bilberryglade_lab/fakes/caller_front.py
+++ b/src/bilberryglade_lab/fakes/caller_front.py
@@ -8,7 +8,7 @@
 from bilberryglade._limits import tokens
 from bilberryglade._rules import reader as rules_reader
 from bilberryglade._state import state
-from bilberryglade._values import outcomes, requests
+from bilberryglade._values import exchanges, outcomes, requests
 
 RULES = """
 service ledger path /ledger key path 2 isolation yield # asked for by tests
@@ -126,3 +126,7 @@
         {name.decode(): text.decode() for name, text in sent[0]['headers']},
         b''.join(message.get('body', b'') for message in sent[1:]),
     )
+
+
+def _ignore(exchange: exchanges.Exchange) -> None:
+    """Observes nothing."""
