--- a/src/bilberryglade_lab/demo.py
+++ b/src/bilberryglade_lab/demo.py
@@ -7,17 +7,18 @@
 import asyncio
 import typing
 import uuid
-from collections import abc
 
 from rich import console as consoles, table as tables
 
+from bilberryglade._rules import reader, rules
 from bilberryglade_lab import deployment, figures, shapes, traffic
 
 SEED: typing.Final = 7
 PHASE_SECONDS: typing.Final = 7.0
 WITHDRAWAL_SECONDS: typing.Final = 4.0
-LARGE_SHARE: typing.Final = 0.5
-SMALL_SHARE: typing.Final = 0.6
+#: Shares of an organisation's rate that it sends.
+READ_SHARE: typing.Final = 0.5
+WRITE_SHARE: typing.Final = 0.1
 SKEW: typing.Final = 0.8
 TABLE_COLUMNS: typing.Final = 150
 
@@ -132,39 +133,32 @@
 
 def flows_of(shape: shapes.DeploymentShape) -> list[traffic.Flow]:
     """Returns traffic of every organisation, well inside its rates."""
-    flows: list[traffic.Flow] = []
-    for number, organisation in enumerate(shape.organisations):
-        is_large = number < shapes.LARGE_ORGANISATIONS
-        rate = (
-            shapes.LARGE_RATE * LARGE_SHARE
-            if is_large
-            else shapes.SMALL_RATE * SMALL_SHARE
-        )
-        flows.extend(_organisation_flows(shape, organisation, rate))
-    return flows
-
-
-def _organisation_flows(
-    shape: shapes.DeploymentShape,
-    organisation: str,
-    rate: float,
-) -> abc.Iterator[traffic.Flow]:
-    reads, *writes = shape.services
-    yield traffic.Flow(
-        organisation=organisation,
+    book = reader.read_rules(shape.rules).unwrap()
+    reads = shape.services[0].service
+    return [
+        _read_flow(rule) if rule.service == reads else _write_flow(rule)
+        for rule in book.allows
+    ]
+
+
+def _read_flow(rule: rules.AllowRule) -> traffic.Flow:
+    return traffic.Flow(
+        organisation=rule.organisation,
         method='GET',
-        path=f'/{reads.service}/{{key}}',
-        rate=rate,
+        path=f'/{rule.service}/{{key}}',
+        rate=rule.rate * READ_SHARE,
         skew=SKEW,
     )
-    for service in writes:
-        yield traffic.Flow(
-            organisation=organisation,
-            method='POST',
-            path=f'/{service.service}/new',
-            rate=rate / 10,
-            once=True,
-        )
+
+
+def _write_flow(rule: rules.AllowRule) -> traffic.Flow:
+    return traffic.Flow(
+        organisation=rule.organisation,
+        method='POST',
+        path=f'/{rule.service}/new',
+        rate=rule.rate * WRITE_SHARE,
+        once=True,
+    )
 
 
 def _cells(phase: Phase) -> list[str]:
