--- a/src/bilberryglade_lab/tests/test_outcomes.py
+++ b/src/bilberryglade_lab/tests/test_outcomes.py
@@ -52,7 +52,7 @@
             await lost.handle.wait()
             await self.deployment.start_instance(number)
         told = await self._until_tried(names[1], body)
-        self.assertEqual(told[0], 409)
+        self.assertEqual(told[0], 409, told[1])
         self.assertIn(b'unknown', told[1])
         ran = [entry for entry in await self._journal() if _is_claim(entry)]
         self.assertEqual(len(ran), 1)
