Placement: a new service is spread once its targets are registered

The first target registered got all slots, the rest returned 8 at a time, so slots were still moving when the instance was lost, and a slot that moved within the last 8 s waits out that move too when one instance led both targets. Ruled out: a false expulsion (the log shows a single one). Now the first assignment waits until the targets have been the same for 0.6 s.

--- a/src/bilberryglade/_instance/duties.py
+++ b/src/bilberryglade/_instance/duties.py
@@ -20,6 +20,8 @@
 INTERVAL_SECONDS: typing.Final = 0.2
 TARGET_SECONDS: typing.Final = 0.05
 COMMIT_SECONDS: typing.Final = 2.0
+#: Time for which a new service's targets must be the same.
+FIRST_SECONDS: typing.Final = 0.6
 #: Least time between two steps in which slots in service move.
 STEP_SECONDS: typing.Final = 0.5
 MAX_ENDS: typing.Final = 64
@@ -37,6 +39,14 @@
 )
 
 
+class Usable(typing.NamedTuple):
+    """Targets that take work, and since when it has been these."""
+
+    targets: tuple[str, ...]
+    #: Monotonic seconds.
+    since: float
+
+
 class Duties:
     """What an instance writes to the log for the roles that it holds."""
 
@@ -60,6 +70,8 @@
         self.watcher = watcher
         #: Monotonic seconds of the newest assignment of each service.
         self.assigned_at: dict[str, float] = {}
+        #: Of each service that has no owners yet.
+        self.usable: dict[str, Usable] = {}
 
     async def perform(self) -> None:
         """Performs the duties again and again until cancelled."""
@@ -127,6 +139,19 @@
         ):
             await self.writer.commit(record, COMMIT_SECONDS)
 
+    def _is_steady(self, service: str) -> bool:
+        """Tells whether a new service's targets have all been registered.
+
+        Its slots are spread once instead of given to the first and moved.
+        """
+        now = time.monotonic()
+        targets = placement.usable_targets(self.reader.view, service)
+        known = self.usable.get(service)
+        if known is None or known.targets != targets:
+            self.usable[service] = Usable(targets, now)
+            return False
+        return now - known.since >= FIRST_SECONDS
+
     def _voluntary(self, service: str) -> int:
         """Returns how many slots in service may move now."""
         last = self.assigned_at.get(service, float('-inf'))
@@ -140,6 +165,8 @@
         for service in services:
             if roles.placer_of_service(view, service) != self.instance:
                 continue
+            if service not in view.services and not self._is_steady(service):
+                continue
             wanted = placement.plan(
                 view,
                 service,
