--- a/src/bilberryglade_lab/fakes/caller_front.py
+++ b/src/bilberryglade_lab/fakes/caller_front.py
@@ -119,7 +119,7 @@
         'query_string': query.encode(),
         'headers': [(name.encode(), text.encode()) for name, text in headers],
     }
-    listener = application.application(front, _ignore)
+    listener = application.application(front, lambda exchange: None)
     await listener(scope, receive, send)
     return Answer(
         sent[0]['status'],
@@ -129,4 +129,4 @@
 
 
 def _ignore(exchange: exchanges.Exchange) -> None:
-    """Observes nothing."""
+    """Observes an exchange and keeps nothing of it."""
