HTTP clients take IP numbers as they are

Cause: an idle instance of 12 had 4 to 8 threads; the HTTP library's resolver asks getaddrinfo in a thread pool even for IP numbers.

--- /dev/null
+++ b/src/bilberryglade/_http/__init__.py
@@ -0,0 +1,1 @@
+"""What the HTTP clients of an instance share."""
--- /dev/null
+++ b/src/bilberryglade/_http/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what HTTP clients share."""
--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -18,6 +18,7 @@
     peer_handlers,
     tenures,
 )
+from bilberryglade._http import resolver
 from bilberryglade._instance import duties, observation, serving, stopping
 from bilberryglade._limits import (
     authority,
@@ -96,7 +97,10 @@
             max_conn_idle_ms=CONNECTION_IDLE_MS,
         )
         self.http = aiosonic.HTTPClient(
-            connectors.TCPConnector(pool_configs={':default': pool}),
+            connectors.TCPConnector(
+                pool_configs={':default': pool},
+                resolver=resolver.IpResolver(),
+            ),
         )
         platform = config['platform']
         timings = config['timings']
--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -8,6 +8,8 @@
 import aiosonic
 from aiosonic import connection, connectors, exceptions, pools
 
+from bilberryglade._http import resolver
+
 #: Idle time after which a kept connection is closed instead of used.
 IDLE_MS: typing.Final = 2000
 
@@ -107,5 +109,6 @@
         connectors.TCPConnector(
             pool_configs={':default': pool},
             connection_cls=connection_class,
+            resolver=resolver.IpResolver(),
         ),
     )
