--- a/src/bilberryglade/_observability/readings.py
+++ b/src/bilberryglade/_observability/readings.py
@@ -63,6 +63,18 @@
     return len(parts.peers.senders)
 
 
+@measurements.reading_of('sent_messages', is_counter=True)
+def read_sent_messages(parts: Parts) -> float:
+    """Messages handed to ZeroMQ for peers."""
+    return parts.peers.sent_messages
+
+
+@measurements.reading_of('sent_bytes', is_counter=True)
+def read_sent_bytes(parts: Parts) -> float:
+    """Bytes handed to ZeroMQ for peers, before encryption and framing."""
+    return parts.peers.sent_bytes
+
+
 @measurements.reading_of('led_targets')
 def read_led_targets(parts: Parts) -> float:
     """Targets that this instance leads."""
--- a/src/bilberryglade/_peers/network.py
+++ b/src/bilberryglade/_peers/network.py
@@ -48,6 +48,9 @@
         self.authenticator = zap.AsyncioAuthenticator(self.context)
         self.receiver = self.context.socket(zmq.ROUTER)
         self.senders: dict[str, zmq_asyncio.Socket] = {}
+        self.sent_messages = 0
+        #: Before encryption and framing.
+        self.sent_bytes = 0
 
     def open(self) -> None:
         """Binds the receiving socket; only holders of the fleet's key pass."""
@@ -73,10 +76,13 @@
         sender = self.senders.get(address)
         if sender is None:
             sender = self._connect(address)
+        raw = codec.encode_packed(message)
         try:
-            zmq.Socket.send(sender, codec.encode_packed(message), zmq.NOBLOCK)
+            zmq.Socket.send(sender, raw, zmq.NOBLOCK)
         except zmq.Again:
             return False
+        self.sent_messages += 1
+        self.sent_bytes += len(raw)
         return True
 
     async def receive(
--- a/src/bilberryglade_lab/__main__.py
+++ b/src/bilberryglade_lab/__main__.py
@@ -1,9 +1,19 @@
 """Command line of the lab: `python -m bilberryglade_lab`."""
 
-from bilberryglade_lab import demo_program, measure_intents, programs
+from bilberryglade_lab import (
+    demo_program,
+    measure_control,
+    measure_intents,
+    programs,
+)
 from bilberryglade_lab.experiments import program as experiment_program
 
-REGISTERED = (demo_program, experiment_program, measure_intents)
+REGISTERED = (
+    measure_control,
+    demo_program,
+    experiment_program,
+    measure_intents,
+)
 
 if __name__ == '__main__':
     programs.main()
