--- a/src/bilberryglade/_observability/tests/test_measurements.py
+++ b/src/bilberryglade/_observability/tests/test_measurements.py
@@ -33,7 +33,9 @@
         known=intake.ignore(intake.Intake(), 'stale_read'),
     )
     waiting: typing.Any = types.SimpleNamespace(waiting_count=lambda: 2)
-    peers: typing.Any = types.SimpleNamespace(senders={})
+    peers: typing.Any = types.SimpleNamespace(
+        senders={}, sent_messages=5, sent_bytes=90
+    )
     delivery: typing.Any = types.SimpleNamespace(retries=4)
     return readings.Parts(
         'entry-0',
