Membership: processes that the platform lists no more give no vote

Cause: when all instances were killed at once and came back at other addresses, no majority of the old members could confirm anything, and requests were refused as not run for good (red test of a repeat after the leaders are gone). Ruled out: ending authority by time alone, since a cut-off majority may go on by its own votes. Now an instance of the same failure domain records a lost process as ended when the platform has not listed it for longer than its list lags.

--- a/src/bilberryglade/_state/topology_folds.py
+++ b/src/bilberryglade/_state/topology_folds.py
@@ -48,6 +48,24 @@
     return folding.accept(changed, offset)
 
 
+@folding.fold_for('instance_off', records.InstanceOff)
+def fold_instance_off(
+    before: state.ClusterState,
+    offset: int,
+    record: records.InstanceOff,
+) -> folding.FoldStep:
+    """Counts a process that is no member as one that gives no vote."""
+    joined_at = record['joined_at']
+    if _is_joined(before, joined_at):
+        reason = f'who joined at {joined_at} is a member'
+        return folding.reject(before, offset, reason)
+    if not _is_joined(before, record['by_joined_at']):
+        reason = f'who joined at {record["by_joined_at"]} is no member any more'
+        return folding.reject(before, offset, reason)
+    departed = before.departed.set(joined_at, offset)
+    return folding.accept(before._replace(departed=departed), offset)
+
+
 @folding.fold_for('failure_domain_changed', records.FailureDomainChanged)
 def fold_failure_domain_changed(
     before: state.ClusterState,
--- a/src/bilberryglade_lab/deployment.py
+++ b/src/bilberryglade_lab/deployment.py
@@ -19,6 +19,8 @@
 POLL_SECONDS: typing.Final = 0.05
 CONNECTION_IDLE_MS: typing.Final = 1000
 OK_STATUS: typing.Final = 200
+#: The stand-in list has no lag unless a test gives it one.
+LIST_LAG_MS: typing.Final = 3000
 ADMIN_TOKEN: typing.Final = 'operators-token'
 
 
@@ -97,6 +99,7 @@
         path.write_bytes(msgspec.yaml.encode(config))
         place = InstancePlace(name, domain, ports[0], ports[1], path)
         self.instances[name] = place
+        await self._list_instance(name, domain, ports[2])
         arguments = ['bilberryglade', 'run', '--settings', str(path)]
         self.running[name] = await processes.start(name, arguments)
         return place
@@ -131,6 +134,7 @@
                 'log_wait_ms': 250,
                 'drift_permille': 10,
                 'request_limit_ms': 5000,
+                'list_lag_ms': LIST_LAG_MS,
             },
             'limits': {
                 'body_bytes': 1_048_576,
@@ -204,6 +208,32 @@
             type=list[platform.JournalEntry],
         )
 
+    async def _list_instance(
+        self,
+        name: str,
+        failure_domain: str,
+        peer_port: int,
+    ) -> None:
+        """Lists an instance as the platform does for those it started."""
+        await self._put_row(
+            {
+                'name': name,
+                'role': 'instance',
+                'service': '',
+                'failure_domain': failure_domain,
+                'address': f'127.0.0.1:{peer_port}',
+                'concurrency': 0,
+                'fenced': False,
+                'state': 'live',
+            },
+        )
+
+    async def _put_row(self, row: platform.ListedMember) -> None:
+        await self.http.put(
+            f'http://127.0.0.1:{self.list_port}/members/{row["name"]}',
+            data=msgspec.json.encode(row),
+        )
+
     async def _start_platform(self) -> None:
         for name, port in (
             ('log', self.log_port),
@@ -255,10 +285,7 @@
                 'fenced': service.fenced,
                 'state': 'live',
             }
-            await self.http.put(
-                f'http://127.0.0.1:{self.list_port}/members/{place.name}',
-                data=msgspec.json.encode(row),
-            )
+            await self._put_row(row)
 
     async def _publish(self) -> None:
         await self.append(
--- a/src/bilberryglade_lab/matrix/pending.py
+++ b/src/bilberryglade_lab/matrix/pending.py
@@ -40,6 +40,7 @@
 
 PENDING: typing.Final[tuple[Pending, ...]] = (
     Pending('membership.append_lost', APPEND),
+    Pending('membership.append_off', APPEND),
     Pending('membership.heartbeat', EXCHANGE),
     Pending('ownership.append_assignment', APPEND),
     Pending('ownership.append_ended', APPEND),
--- a/src/bilberryglade_schema/records.py
+++ b/src/bilberryglade_schema/records.py
@@ -210,6 +210,17 @@
     body: str
 
 
+class InstanceOff(TypedDict, closed=True):
+    """
+    The platform has not listed a process that is no member any more for longer than its list lags; it runs no more.
+    """
+
+    id: RecordId
+    kind: Literal['instance_off']
+    joined_at: Offset
+    by_joined_at: Offset
+
+
 class IntentsRecorded(TypedDict, closed=True):
     """
     A group commit of intents and releases, in the intent stream of a service. One with neither marks a place that a reader waits for.
--- a/src/bilberryglade_schema/settings.py
+++ b/src/bilberryglade_schema/settings.py
@@ -43,6 +43,7 @@
     log_wait_ms: int
     drift_permille: int
     request_limit_ms: int
+    list_lag_ms: NotRequired[int]
     stop_ms: NotRequired[int]
     notice_ms: NotRequired[int]
 
