Requests without a key go where answers come soonest

Cause: they were spread by a hash, so a straggler kept its share. Delivery now takes the registered policy two_choices for requests that are bound to no target. Not measured over real processes.

--- a/src/bilberryglade/_delivery/delivery.py
+++ b/src/bilberryglade/_delivery/delivery.py
@@ -16,6 +16,7 @@
 from bilberryglade._peers import network
 from bilberryglade._routing import elsewhere, roles
 from bilberryglade._state import state
+from bilberryglade._targets import spread
 from bilberryglade._values import outcomes, requests
 
 
@@ -42,6 +43,7 @@
         self.forwards = forwards.Forwards(
             instance, reader, peers, self.dispatch
         )
+        self.spread = spread.Spread()
         #: Attempts after the first, since the start.
         self.retries = 0
         self.budget = retry.Budget()
@@ -59,11 +61,14 @@
         if self.watch.refuses(request):
             return outcomes.NotRun(outcomes.Reason.quarantined)
         self.budget = retry.earn(self.budget)
-        attempt = request._replace(slot=elsewhere.home_slot(request))
+        home = request._replace(slot=elsewhere.home_slot(request))
+        attempt = home._replace(
+            slot=self.spread.slot_for(self.reader.view, home)
+        )
         tried: list[str] = []
         while True:
             target = owner_of(self.reader.view, attempt)
-            outcome = await self._try(attempt, target)
+            outcome = await self._try_counted(attempt, target)
             if isinstance(outcome, outcomes.Answered):
                 return outcome
             tried.append(target.target if target else '')
@@ -128,13 +133,28 @@
         )
         return retry.decide(situation, self.budget)
 
-    async def _try(
+    async def _try_counted(
         self,
         request: requests.RoutedRequest,
         target: state.TargetState | None,
     ) -> outcomes.Outcome:
         if target is None:
             return outcomes.NotRun(outcomes.Reason.no_owner)
+        began = time.monotonic()
+        outcome: outcomes.Outcome | None = None
+        self.spread.sent(target.target)
+        try:
+            outcome = await self._try(request, target)
+        finally:
+            seconds = time.monotonic() - began
+            self.spread.ended(target.target, outcome, seconds)
+        return outcome
+
+    async def _try(
+        self,
+        request: requests.RoutedRequest,
+        target: state.TargetState,
+    ) -> outcomes.Outcome:
         leader = roles.leader_of_target(self.reader.view, target.target)
         if leader == self.instance:
             return await self._dispatch_here(request)
