Composition root apart from the running node; loops that break stop the instance

Parts are wired in functions of one group each, _instance/node.py runs them, _instance/list_watch.py watches the list, and a broken invariant now stops the instance and is raised.

--- a/src/bilberryglade/_commands/run.py
+++ b/src/bilberryglade/_commands/run.py
@@ -7,7 +7,7 @@
 import result
 
 from bilberryglade._commands import commands, output, statuses
-from bilberryglade._instance import composition, config
+from bilberryglade._instance import config, node
 from bilberryglade._observability import lines
 
 
@@ -30,5 +30,5 @@
             output.write_error(f'{settings}: {config.line_of(error)}')
         return statuses.ExitStatus.usage
     lines.configure(checked.ok_value['logs'])
-    await composition.Node(checked.ok_value).run()
+    await node.Node(checked.ok_value).run()
     return statuses.ExitStatus.done
--- a/src/bilberryglade/_instance/duties.py
+++ b/src/bilberryglade/_instance/duties.py
@@ -10,7 +10,7 @@
 
 from bilberryglade._listing import list_client
 from bilberryglade._log import recorder
-from bilberryglade._membership import absence, endings, expulsion
+from bilberryglade._membership import endings, expulsion
 from bilberryglade._ownership import activation, holder, probes
 from bilberryglade._routing import placement, roles
 from bilberryglade._state import folding, state
@@ -24,11 +24,6 @@
 FIRST_SECONDS: typing.Final = 0.6
 #: Least time between two steps in which slots in service move.
 STEP_SECONDS: typing.Final = 0.5
-#: Interval between two reads of the list for lost processes.
-LIST_SECONDS: typing.Final = 1.0
-#: Longest time for which the list is taken to leave out a running process.
-LIST_LAG_MS: typing.Final = 30_000
-MILLISECONDS: typing.Final = 1000
 MAX_ENDS: typing.Final = 64
 REGISTER: typing.Final = steps.declare(
     'ownership.append_target',
@@ -43,11 +38,6 @@
     steps.StepKind.append,
 )
 
-OFF: typing.Final = steps.declare(
-    'membership.append_off',
-    steps.StepKind.append,
-)
-
 
 class Usable(typing.NamedTuple):
     """Targets that take work, and since when it has been these."""
@@ -78,7 +68,6 @@
         self.writer = writer
         self.listing = listing
         self.watcher = watcher
-        self.absences = absence.Absences()
         #: Monotonic seconds of the newest assignment of each service.
         self.assigned_at: dict[str, float] = {}
         #: Of each service that has no owners yet.
@@ -91,7 +80,6 @@
             self._repeat(self._register_targets, INTERVAL_SECONDS),
             self._repeat(self._assign_slots, INTERVAL_SECONDS),
             self._repeat(self._settle, INTERVAL_SECONDS),
-            self._watch_list(),
             self._repeat(self._judge_targets, TARGET_SECONDS),
         )
 
@@ -121,42 +109,6 @@
                     COMMIT_SECONDS,
                 )
 
-    async def _watch_list(self) -> None:
-        """Records lost processes that the platform has stopped listing."""
-        while True:
-            await asyncio.sleep(LIST_SECONDS)
-            view = self.reader.view
-            registrar = roles.registrar_of_domain(view, self.failure_domain)
-            if registrar != self.instance:
-                self.absences = absence.Absences()
-                continue
-            await self._record_ended(view)
-
-    async def _record_ended(self, view: state.ClusterState) -> None:
-        former = absence.former_members(view, self.failure_domain)
-        if not former:
-            return
-        listed = await self.listing.read()
-        now = time.monotonic()
-        own = view.members.get(self.instance)
-        if isinstance(listed, result.Err) or own is None:
-            return
-        instances = listed_instances(listed.ok_value)
-        if (
-            absence.ListedInstance(self.instance, own.peer_address)
-            not in instances
-        ):
-            return
-        self.absences = absence.look(self.absences, former, instances, now)
-        lag_ms = self.keeper.beats.timings.get('list_lag_ms', LIST_LAG_MS)
-        for joined_at in absence.ended(
-            self.absences, lag_ms / MILLISECONDS, now
-        ):
-            await self.writer.commit(
-                off_record(joined_at, own.joined_at),
-                COMMIT_SECONDS,
-            )
-
     async def _settle(self) -> None:
         """Records up to where earlier authority and its grants have ended."""
         view = self.reader.view
@@ -330,24 +282,3 @@
         'state': wanted,
         'based_on': known.changed_at if known else 0,
     }
-
-
-def listed_instances(
-    rows: list[platform.ListedMember],
-) -> frozenset[absence.ListedInstance]:
-    """Returns the instances of the platform's list."""
-    return frozenset(
-        absence.ListedInstance(row['name'], row['address'])
-        for row in rows
-        if row['role'] == 'instance'
-    )
-
-
-def off_record(joined_at: int, by_joined_at: int) -> folding.Record:
-    """Returns the record of a process that has ended."""
-    return {
-        'id': f'off-{joined_at}-by-{by_joined_at}',
-        'kind': 'instance_off',
-        'joined_at': joined_at,
-        'by_joined_at': by_joined_at,
-    }
--- a/src/bilberryglade/_membership/tests/test_authority.py
+++ b/src/bilberryglade/_membership/tests/test_authority.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from hypothesis import given, strategies
+import hypothesis
+from hypothesis import strategies
 
 from bilberryglade._membership import authority, endings
 from bilberryglade._membership.tests import clusters
@@ -161,7 +162,7 @@
 class IntersectionTest(unittest.TestCase):
     """Votes and confirmations cannot both be had at one moment."""
 
-    @given(
+    @hypothesis.given(
         size=strategies.integers(2, 9),
         folded=strategies.sets(strategies.integers(0, 8)),
         asked=strategies.sets(strategies.integers(0, 8)),
--- a/src/bilberryglade_lab/deployment.py
+++ b/src/bilberryglade_lab/deployment.py
@@ -12,16 +12,14 @@
 import zmq
 from aiosonic import connectors, exceptions, pools, timeout
 
-from bilberryglade_lab import processes, shapes
+from bilberryglade_lab import instance_settings, processes, shapes
 from bilberryglade_schema import platform, settings
 
 START_SECONDS: typing.Final = 20.0
 POLL_SECONDS: typing.Final = 0.05
+ADMIN_TOKEN: typing.Final = instance_settings.ADMIN_TOKEN
 CONNECTION_IDLE_MS: typing.Final = 1000
 OK_STATUS: typing.Final = 200
-#: The stand-in list has no lag unless a test gives it one.
-LIST_LAG_MS: typing.Final = 3000
-ADMIN_TOKEN: typing.Final = 'operators-token'
 
 
 class TargetPlace(typing.NamedTuple):
@@ -111,43 +109,18 @@
         ports: list[int],
     ) -> settings.InstanceSettings:
         """Returns the settings of an entry instance."""
-        callers, admin, peers = (f'127.0.0.1:{port}' for port in ports)
         public_key, secret_key = self.fleet_keys
-        return {
-            'instance': name,
-            'failure_domain': failure_domain,
-            'listen': {'callers': callers, 'admin': admin, 'peers': peers},
-            'platform': {
+        return instance_settings.settings_of(
+            instance_settings.Place(name, failure_domain, ports),
+            {
                 'log_url': f'http://127.0.0.1:{self.log_port}',
                 'list_url': f'http://127.0.0.1:{self.list_port}',
             },
-            'peers': {
+            {
                 'public_key': public_key.decode(),
                 'secret_key': secret_key.decode(),
             },
-            'timings': {
-                'heartbeat_ms': 200,
-                'suspect_ms': 800,
-                'authority_ms': 800,
-                'lease_ms': 1000,
-                'renew_ms': 250,
-                'log_wait_ms': 250,
-                'drift_permille': 10,
-                'request_limit_ms': 5000,
-                'list_lag_ms': LIST_LAG_MS,
-            },
-            'limits': {
-                'body_bytes': 1_048_576,
-                'queue_length': 200,
-                'peer_queue_length': 10_000,
-            },
-            'logs': {'format': 'text', 'level': 'WARNING'},
-            'admin': {
-                'token_digest': hashlib.sha256(
-                    ADMIN_TOKEN.encode(),
-                ).hexdigest(),
-            },
-        }
+        )
 
     async def call(
         self,
