--- a/src/bilberryglade_lab/__main__.py
+++ b/src/bilberryglade_lab/__main__.py
@@ -4,11 +4,13 @@
     demo_program,
     measure_control,
     measure_intents,
+    measure_router,
     programs,
 )
 from bilberryglade_lab.experiments import program as experiment_program
 
 REGISTERED = (
+    measure_router,
     measure_control,
     demo_program,
     experiment_program,
