--- a/src/bilberryglade/_state/ownership_folds.py
+++ b/src/bilberryglade/_state/ownership_folds.py
@@ -20,17 +20,14 @@
     service = record['service']
     slots = before.services.get(service, state.ServiceSlots())
     if record['based_on'] != slots.changed_at:
-        reason = f'{service} was assigned at {slots.changed_at}'
-        return folding.reject(before, offset, reason, winner=slots.changed_at)
+        return _lost_race(before, offset, service)
     unknown = _unknown_target(before, record)
     if unknown:
         reason = f'{unknown} is no target of {service}'
         return folding.reject(before, offset, reason)
     owners = _moved(slots.owners, offset, record['moves'])
     moved = slots._replace(changed_at=offset, owners=owners)
-    services = before.services.set(service, moved)
-    changed = before._replace(services=services, ownership_changed_at=offset)
-    return folding.accept(changed, offset)
+    return _changed(before, offset, service, moved)
 
 
 @folding.fold_for('hot_key_split', records.HotKeySplit)
@@ -43,13 +40,10 @@
     service = record['service']
     slots = before.services.get(service, state.ServiceSlots())
     if record['based_on'] != slots.changed_at:
-        reason = f'{service} was assigned at {slots.changed_at}'
-        return folding.reject(before, offset, reason, winner=slots.changed_at)
+        return _lost_race(before, offset, service)
     hot_slots = slots.hot_slots.set(record['key_digest'], record['slot'])
     split = slots._replace(changed_at=offset, hot_slots=hot_slots)
-    services = before.services.set(service, split)
-    changed = before._replace(services=services, ownership_changed_at=offset)
-    return folding.accept(changed, offset)
+    return _changed(before, offset, service, split)
 
 
 @folding.fold_for('request_quarantined', records.RequestQuarantined)
@@ -89,6 +83,27 @@
     return folding.accept(changed, offset)
 
 
+def _lost_race(
+    before: state.ClusterState,
+    offset: int,
+    service: str,
+) -> folding.FoldStep:
+    changed_at = before.services.get(service, state.ServiceSlots()).changed_at
+    reason = f'{service} was assigned at {changed_at}'
+    return folding.reject(before, offset, reason, winner=changed_at)
+
+
+def _changed(
+    before: state.ClusterState,
+    offset: int,
+    service: str,
+    slots: state.ServiceSlots,
+) -> folding.FoldStep:
+    services = before.services.set(service, slots)
+    changed = before._replace(services=services, ownership_changed_at=offset)
+    return folding.accept(changed, offset)
+
+
 def _unknown_target(
     before: state.ClusterState,
     record: records.SlotsAssigned,
