One test for bound requests; the unused count of a slot in flight goes

Found on reading the change again. The rule that a key or the caller's own name binds a request to its slot stood in elsewhere and in spread; both now ask requests.is_bound. Dispatcher.in_flight was left over since running_slots came, used by one test only, which now asserts that nothing at all runs. Behaviour is the same.

--- a/src/bilberryglade/_delivery/dispatcher.py
+++ b/src/bilberryglade/_delivery/dispatcher.py
@@ -131,13 +131,6 @@
             else:
                 channel.refuse_all(outcomes.Reason.no_owner)
 
-    def in_flight(self, target: str, slot: int) -> int:
-        """Returns how many requests of a slot run at a target."""
-        channel = self.channels.get(target)
-        if channel is None:
-            return 0
-        return sum(1 for running in channel.running.values() if running == slot)
-
     def running_slots(self, target: str) -> frozenset[int]:
         """Returns the slots of the requests that run at a target."""
         channel = self.channels.get(target)
--- a/src/bilberryglade/_delivery/tests/test_dispatcher.py
+++ b/src/bilberryglade/_delivery/tests/test_dispatcher.py
@@ -176,4 +176,4 @@
         self.target.gate.release()
         await self.start(request_of('lost'))
         self.assertEqual(channel.condition.allowance, 1)
-        self.assertEqual(self.dispatcher.in_flight('ledger-0', 7), 0)
+        self.assertEqual(self.dispatcher.channels['ledger-0'].running, {})
--- a/src/bilberryglade/_routing/elsewhere.py
+++ b/src/bilberryglade/_routing/elsewhere.py
@@ -27,7 +27,7 @@
 
     Requests with a key, and those that their caller has named, stay.
     """
-    if request.key or request.idempotency_digest:
+    if requests.is_bound(request):
         return request.slot
     service = view.services.get(request.service, state.ServiceSlots())
     others = {
--- a/src/bilberryglade/_targets/spread.py
+++ b/src/bilberryglade/_targets/spread.py
@@ -39,7 +39,7 @@
         Requests with a key, and those that their caller has named, keep
         their slot.
         """
-        if request.key or request.idempotency_digest:
+        if requests.is_bound(request):
             return request.slot
         slots = self._choices(view, request.service).slots
         if not slots:
--- a/src/bilberryglade/_values/requests.py
+++ b/src/bilberryglade/_values/requests.py
@@ -36,3 +36,11 @@
 def caller_request_id(request_id: str) -> str:
     """Returns the id that all attempts of one request share."""
     return request_id.partition('.')[0]
+
+
+def is_bound(request: RoutedRequest) -> bool:
+    """Tells whether only the owner of the request's slot may run it.
+
+    A key binds it, and so does a name that its caller gave it.
+    """
+    return bool(request.key or request.idempotency_digest)
