--- /dev/null
+++ b/src/bilberryglade/_delivery/router.py
@@ -0,0 +1,287 @@
+"""Takes a request from its arrival to what became of it.
+
+Everything that decides is a function of what is known; this module only puts
+the decisions in order and performs them.
+"""
+
+import asyncio
+import random
+import typing
+from collections import abc
+
+from bilberryglade._delivery import budget, sends
+from bilberryglade._knowledge import reading
+from bilberryglade._limits import desks
+from bilberryglade._ownership import owners, steward
+from bilberryglade._routing import admission, catalogue, splitting
+from bilberryglade._targets import choosing, directory
+from bilberryglade._values import clock, outcomes, site
+
+#: Longest wait for keys that are being handed to their new owner.
+MOVING_SECONDS: typing.Final = 0.3
+LOOK_SECONDS: typing.Final = 0.02
+#: Shortest time in which it is worth sending a request to a target.
+LEAST_SECONDS: typing.Final = 0.03
+#: Part of the time left that a first send of a repeatable request may take.
+FIRST_SEND_PART: typing.Final = 0.6
+#: Refusals spread callers' returns by up to this part.
+SPREAD_PART: typing.Final = 0.5
+#: Largest part of the time left that a refused caller is told to wait.
+RETURN_PART: typing.Final = 0.3
+
+
+class Delivered(typing.NamedTuple):
+    """What became of a request, and what decided it."""
+
+    outcome: outcomes.Outcome
+    route: str = ''
+    service: str = ''
+    organisation: str = ''
+    #: Targets to which it was sent, in order.
+    targets: tuple[str, ...] = ()
+    #: Milliseconds after which the caller may come back; 0 if unknown.
+    retry_after_ms: int = 0
+
+
+class Job(typing.NamedTuple):
+    """An admitted request on its way."""
+
+    request: admission.Incoming
+    admitted: admission.Admitted
+    service: str
+    #: Seconds at which the caller or the route gives up.
+    deadline: float
+    #: Seconds until which an answer has its full value.
+    aim_until: float
+
+
+class Router:
+    """Routes requests of callers to targets."""
+
+    def __init__(
+        self,
+        place: site.Site,
+        reader: reading.Reader,
+        keeper: steward.Steward,
+        quotas: desks.Desks,
+        sending: sends.Sends,
+        instances: abc.Callable[[], int],
+    ) -> None:
+        """Reads what is known from the parts given."""
+        self.place = place
+        self.reader = reader
+        self.keeper = keeper
+        self.quotas = quotas
+        self.sending = sending
+        self.instances = instances
+        self.turns: dict[str, splitting.Turns] = {}
+        self.budgets: dict[str, budget.Budget] = {}
+        self.offset = random.random()
+        #: Called with the service and the key of each request.
+        self.count_key: abc.Callable[[str, int], None] = lambda *_: None
+
+    async def serve(self, request: admission.Incoming) -> Delivered:
+        """Runs a request and returns what became of it."""
+        admitted = admission.admit(self.reader.known.catalogue, request)
+        if isinstance(admitted, outcomes.NotRun):
+            return Delivered(admitted, retry_after_ms=admitted.retry_after_ms)
+        name = admitted.organisation.name if admitted.organisation else ''
+        delivered = Delivered(
+            outcomes.NotRun(outcomes.Reason.over_rate),
+            route=admitted.route.name,
+            organisation=name,
+        )
+        wait = None
+        if admitted.organisation is not None:
+            wait = self.quotas.admit(admitted.organisation)
+        if wait is not None:
+            return self._refused(request, delivered, wait)
+        job = self._job(request, admitted)
+        delivered = delivered._replace(service=job.service)
+        delivered = await self._deliver(job, delivered)
+        if not delivered.targets and name:
+            self.quotas.give_back(name)
+        return delivered
+
+    def _job(
+        self,
+        request: admission.Incoming,
+        admitted: admission.Admitted,
+    ) -> Job:
+        route = admitted.route
+        turns = self.turns.get(route.name)
+        if turns is None or turns.parts != route.parts:
+            turns = splitting.start(route, self.offset)
+        self.turns[route.name], service = splitting.choose(turns)
+        patience = route.timeout
+        if request.patience is not None:
+            patience = min(patience, request.patience)
+        known = self.budgets.get(service) or budget.start(
+            self.place.bounds, self.instances()
+        )
+        self.budgets[service] = budget.counted(
+            known, self.place.bounds, self.instances()
+        )
+        return Job(
+            request=request,
+            admitted=admitted,
+            service=service,
+            deadline=request.arrived_at + patience,
+            aim_until=request.arrived_at + route.aim,
+        )
+
+    async def _deliver(self, job: Job, delivered: Delivered) -> Delivered:
+        """Sends a request until it is answered or may not be sent again."""
+        outcome: outcomes.Outcome
+        while True:
+            chosen = await self._choose(job, frozenset(delivered.targets))
+            if isinstance(chosen, choosing.Refusal):
+                if delivered.targets:
+                    return delivered
+                refused = outcomes.NotRun(chosen.reason)
+                return self._refused(
+                    job.request,
+                    delivered._replace(outcome=refused),
+                    chosen.retry_seconds,
+                )
+            if delivered.targets and not self._spend(job.service):
+                return delivered
+            outcome = await self.sending.send(
+                job.request,
+                job.admitted,
+                chosen.target,
+                self._seconds(job, delivered),
+            )
+            delivered = delivered._replace(
+                outcome=outcome,
+                targets=(*delivered.targets, chosen.target.name),
+            )
+            if not self._may_repeat(job, delivered):
+                return self._with_return(job, delivered)
+
+    def _seconds(self, job: Job, delivered: Delivered) -> float:
+        left = job.deadline - clock.now()
+        route = job.admitted.route
+        is_last = len(delivered.targets) + 1 >= route.attempts
+        if is_last or not route.repeatable:
+            return left
+        return left * FIRST_SEND_PART
+
+    def _may_repeat(self, job: Job, delivered: Delivered) -> bool:
+        """Tells whether a request may be sent once more.
+
+        What may have run is sent again only if it may run twice.
+        """
+        route = job.admitted.route
+        if len(delivered.targets) >= route.attempts:
+            return False
+        if job.deadline - clock.now() < LEAST_SECONDS:
+            return False
+        if isinstance(delivered.outcome, outcomes.NotRun):
+            return True
+        if not route.repeatable:
+            return False
+        if isinstance(delivered.outcome, outcomes.Unknown):
+            return True
+        return delivered.outcome.status >= FAILED_STATUS
+
+    def _spend(self, service: str) -> bool:
+        left = budget.spent(self.budgets[service])
+        if left is None:
+            return False
+        self.budgets[service] = left
+        return True
+
+    async def _choose(
+        self,
+        job: Job,
+        tried: frozenset[str],
+    ) -> choosing.View | choosing.Refusal:
+        now = clock.now()
+        left = job.deadline - now
+        if left < LEAST_SECONDS:
+            return choosing.Refusal(outcomes.Reason.deadline, 0)
+        demand = choosing.Demand(
+            failure_domain=self.place.failure_domain,
+            aim_left=job.aim_until - now,
+            time_left=left,
+            tried=tried,
+        )
+        service = self._service(job.service)
+        if service is None or not service.is_partitioned:
+            views = self._views(job.service)
+            return choosing.choose(views, demand, now)
+        # The owner of a key is the only one that may be tried again.
+        return await self._choose_owner(
+            job, demand._replace(tried=frozenset())
+        )
+
+    async def _choose_owner(
+        self,
+        job: Job,
+        demand: choosing.Demand,
+    ) -> choosing.View | choosing.Refusal:
+        key = job.request.routing_key
+        if key is None:
+            return choosing.Refusal(outcomes.Reason.key_missing, 0)
+        self.count_key(job.service, key)
+        until = min(clock.now() + MOVING_SECONDS, job.deadline)
+        while True:
+            owned = owners.find(self.keeper.tables, job.service, key)
+            target = None if owned is None else self._target(owned)
+            if owned is not None and target and not owned.is_moving:
+                view = self.sending.view(target)
+                return choosing.choose((view,), demand, clock.now())
+            if clock.now() >= until:
+                return choosing.Refusal(
+                    outcomes.Reason.keys_moving, LOOK_SECONDS * 10
+                )
+            await asyncio.sleep(LOOK_SECONDS)
+
+    def _target(self, owned: owners.Owned) -> directory.Target | None:
+        known = self.reader.known
+        target = known.directory.targets.get(owned.entry.owner.target)
+        if target is None or target.born != owned.entry.owner.born:
+            return None
+        if target.is_draining or known.is_out(target.failure_domain):
+            return None
+        return target
+
+    def _views(self, service: str) -> list[choosing.View]:
+        known = self.reader.known
+        return [
+            self.sending.view(target)
+            for target in known.directory.targets.values()
+            if target.service == service
+            and not known.is_out(target.failure_domain)
+        ]
+
+    def _service(self, name: str) -> catalogue.Service | None:
+        known = self.reader.known.catalogue
+        return None if known is None else known.services.get(name)
+
+    def _refused(
+        self,
+        request: admission.Incoming,
+        delivered: Delivered,
+        seconds: float,
+    ) -> Delivered:
+        """Tells when to come back, spread so that callers do not meet."""
+        spread = seconds * (1 + random.random() * SPREAD_PART)
+        if request.patience is not None:
+            waited = clock.now() - request.arrived_at
+            spread = min(spread, (request.patience - waited) * RETURN_PART)
+        return delivered._replace(
+            retry_after_ms=max(int(spread * 1000), 1),
+        )
+
+    def _with_return(self, job: Job, delivered: Delivered) -> Delivered:
+        if not isinstance(delivered.outcome, outcomes.NotRun):
+            return delivered
+        return self._refused(
+            job.request, delivered, choosing.LEAST_RETRY_SECONDS * 2
+        )
+
+
+#: Status of a target's answer from which a repeatable request is tried again.
+FAILED_STATUS: typing.Final = 500
--- /dev/null
+++ b/src/bilberryglade/_delivery/sends.py
@@ -0,0 +1,153 @@
+"""Sends requests to targets and keeps the standing of each target."""
+
+import typing
+from collections import abc
+
+from bilberryglade._knowledge import reading
+from bilberryglade._membership import fleet
+from bilberryglade._routing import admission
+from bilberryglade._targets import choosing, directory, standing
+from bilberryglade._values import clock, outcomes, spreading
+
+
+class Sent(typing.NamedTuple):
+    """What came of one send, as the platform's answer was understood."""
+
+    outcome: outcomes.Outcome
+    #: None if the answer told nothing of its target's load.
+    report: standing.Report | None = None
+    #: Whether the target has no room, and said so.
+    is_shed: bool = False
+    #: Whether another target has the address, or the target lacks the key.
+    is_misdirected: bool = False
+
+
+class Exchange(typing.Protocol):
+    """Sends one request to a target by the platform's protocol."""
+
+    async def __call__(
+        self,
+        request: admission.Incoming,
+        admitted: admission.Admitted,
+        target: directory.Target,
+        seconds: float,
+    ) -> Sent:
+        """Returns what came of the send within `seconds`."""
+
+
+#: Instances that may send to one cold target: with one request each in
+#: `choosing.COLD_SPACING_SECONDS` they stay within what it bears.
+MARGIN_REQUESTS: typing.Final = 2.0
+
+
+class Sends:
+    """The one way from this instance to targets."""
+
+    def __init__(
+        self,
+        reader: reading.Reader,
+        members: fleet.Fleet,
+        exchange: Exchange,
+        cold_room: abc.Callable[[str], float],
+    ) -> None:
+        """`cold_room` returns what a cold target of a service bears."""
+        self.reader = reader
+        self.members = members
+        self.exchange = exchange
+        self.cold_room = cold_room
+        self.standings: dict[tuple[str, int], standing.Standing] = {}
+        #: Requests at a target that may run once.
+        self.under_way: set[str] = set()
+
+    def is_under_way(self, request_id: str) -> bool:
+        """Tells whether a request that may run once is at a target."""
+        return request_id in self.under_way
+
+    def view(self, target: directory.Target) -> choosing.View:
+        """Returns a target as this instance sees it."""
+        known = self.standings.get((target.name, target.born))
+        return choosing.View(
+            target,
+            known or standing.Standing(),
+            may_warm=self._may_warm(target),
+        )
+
+    async def send(
+        self,
+        request: admission.Incoming,
+        admitted: admission.Admitted,
+        target: directory.Target,
+        seconds: float,
+    ) -> outcomes.Outcome:
+        """Sends a request once and takes in how that went."""
+        began = clock.now()
+        self._begin(target, began)
+        if not admitted.route.repeatable:
+            self.under_way.add(request.request_id)
+        try:
+            sent = await self.exchange(request, admitted, target, seconds)
+        finally:
+            self.under_way.discard(request.request_id)
+            self._end(target)
+        self._take(target, sent, clock.now() - began)
+        return sent.outcome
+
+    def forget_gone(self) -> None:
+        """Drops the standing of targets that are not listed any more."""
+        listed = {
+            (target.name, target.born)
+            for target in self.reader.known.directory.targets.values()
+        }
+        for life in list(self.standings):
+            if life not in listed and not self.standings[life].outstanding:
+                self.standings.pop(life)
+
+    def _begin(self, target: directory.Target, now: float) -> None:
+        view = self.view(target)
+        known = standing.sent(view.standing)
+        if choosing.is_cold(view, now):
+            known = known._replace(cold_sent_at=now)
+        self.standings[(target.name, target.born)] = known
+
+    def _end(self, target: directory.Target) -> None:
+        life = (target.name, target.born)
+        self.standings[life] = standing.ended(self.standings[life])
+
+    def _take(
+        self,
+        target: directory.Target,
+        sent: Sent,
+        seconds: float,
+    ) -> None:
+        life = (target.name, target.born)
+        known = self.standings[life]
+        now = clock.now()
+        outcome = sent.outcome
+        if sent.is_shed:
+            known = standing.shed(known, target.places, now)
+        elif isinstance(outcome, outcomes.Answered):
+            known = standing.answered(
+                known, seconds, sent.report, outcome.status < 500, now
+            )
+        elif sent.is_misdirected:
+            return
+        elif isinstance(outcome, outcomes.NotRun):
+            known = standing.unreachable(known, target.offset, now)
+        elif outcome.reason is outcomes.Reason.answer_lost:
+            known = standing.lost(known, target.offset, now)
+        self.standings[life] = known
+
+    def _may_warm(self, target: directory.Target) -> bool:
+        """Tells whether this instance is among those that warm a target."""
+        room = self.cold_room(target.service)
+        if not room:
+            return True
+        count = int(room - MARGIN_REQUESTS)
+        names = self.members.members
+        if len(names) <= count:
+            return True
+        own = spreading.score(self.members.own.name, target.name)
+        better = sum(
+            spreading.score(name, target.name) > own for name in names
+        )
+        return better < count
--- /dev/null
+++ b/src/bilberryglade/_instance/entry.py
@@ -0,0 +1,336 @@
+"""The parts of one entry instance on the platform, and how they run."""
+
+import asyncio
+import signal
+import typing
+import uuid
+from collections import abc
+
+import loguru
+import result
+from starlette import applications, requests, responses, routing
+
+from bilberryglade._delivery import router, sends
+from bilberryglade._instance import serving
+from bilberryglade._knowledge import (
+    peer_handlers,
+    reading,
+    topics,
+)
+from bilberryglade._limits import desks, reporting
+from bilberryglade._membership import candidacy, enrolment, fleet
+from bilberryglade._observability import exchange_counts
+from bilberryglade._ownership import steward
+from bilberryglade._peers import network
+from bilberryglade._routing import catalogue
+from bilberryglade._targets import sender
+from bilberryglade._values import clock, site
+from bilberryglade.platform import exchange, folds, front, orders, store
+from bilberryglade_schema import fleet as messages
+
+#: Connections to the store and to all targets, of each class.
+STORE_CONNECTIONS: typing.Final = 16
+TARGET_CONNECTIONS: typing.Final = 256
+CALLER_CONNECTIONS: typing.Final = 3000
+STORE_ANSWER_BYTES: typing.Final = 16_777_216
+#: Longest answer of a target that is taken in.
+ANSWER_BYTES: typing.Final = 16_777_216
+PEER_QUEUE: typing.Final = 2000
+METRICS_PORT: typing.Final = 9464
+LEAD_SECONDS: typing.Final = 0.5
+HOUSEKEEPING_SECONDS: typing.Final = 0.25
+#: Seconds after the signal in which new requests are still taken: the
+#: balancer looks once a second and needs two misses.
+NOTICE_SECONDS: typing.Final = 2.6
+#: Seconds before the end of the stop's time at which the process leaves.
+STOP_MARGIN_SECONDS: typing.Final = 0.9
+REGISTERED: typing.Final = (peer_handlers, folds)
+
+
+class Parts:
+    """All parts of one entry instance on the platform."""
+
+    def __init__(
+        self,
+        place: site.Site,
+        keys: messages.PeerKeys,
+        client: store.StoreClient,
+    ) -> None:
+        """Wires the parts; nothing runs yet."""
+        self.place = place
+        self.stopping = asyncio.Event()
+        self.peers = network.PeerNetwork(
+            place.peer_address,
+            {'public_key': keys['public_key'], 'secret_key': keys['secret_key']},
+            PEER_QUEUE,
+        )
+        own = fleet.Member(
+            place.instance,
+            uuid.uuid4().hex,
+            place.peer_address,
+            place.failure_domain,
+        )
+        self.fleet = fleet.Fleet(own, self.peers)
+        self.candidacy = candidacy.Candidacy(self.fleet, client)
+        self.enrolment = enrolment.Enrolment(
+            self.fleet, client, self.candidacy
+        )
+        self.reader = reading.Reader(self.fleet, client, self.candidacy)
+        self.targets = sender.Sender(TARGET_CONNECTIONS, ANSWER_BYTES)
+        self.steward = steward.Steward(
+            self.fleet,
+            self.candidacy,
+            client,
+            orders.Orders(self.targets),
+            self.reader,
+            place.bounds.longest_lease,
+        )
+        self._wire_requests()
+
+    def _wire_requests(self) -> None:
+        self.desks = desks.Desks(self.instances)
+        self.reporting = reporting.Reporting(
+            self.fleet, self.candidacy, self.desks
+        )
+        self.dividing = reporting.Dividing(
+            self.fleet, self.candidacy, self.organisations, self.instances
+        )
+        self.reporting.take_own = self.dividing.take
+        self.dividing.own_answers = self.reporting.take
+        self.candidacy.on_start.append(self.dividing.begin)
+        self.candidacy.on_start.append(self.lead)
+        self.steward.loads = self.dividing.loads
+        self.sends = sends.Sends(
+            self.reader,
+            self.fleet,
+            exchange.TargetExchange(self.targets),
+            self.cold_room,
+        )
+        self.router = router.Router(
+            self.place,
+            self.reader,
+            self.steward,
+            self.desks,
+            self.sends,
+            self.instances,
+        )
+        self.router.count_key = self.reporting.count
+        self.exchanges = exchange_counts.Exchanges(self.reader, self.steward)
+        self.front = front.Front(
+            self.router, self.exchanges.take, self.caller_bounds
+        )
+
+    def instances(self) -> int:
+        """Returns how many instances share limits."""
+        return len(self.fleet.members)
+
+    def organisations(self) -> dict[str, catalogue.Organisation]:
+        """Returns the organisations of the configuration in force."""
+        known = self.reader.known.catalogue
+        return {} if known is None else known.organisations
+
+    def caller_bounds(self) -> catalogue.CallerBounds:
+        """Returns the bounds on what callers send."""
+        known = self.reader.known.catalogue
+        return catalogue.CallerBounds() if known is None else known.caller_bounds
+
+    def cold_room(self, service: str) -> float:
+        """Returns the requests a second that a cold target may get."""
+        known = self.reader.known.catalogue
+        found = None if known is None else known.services.get(service)
+        if found is None or not found.cold_rate:
+            return 0
+        bounds = self.place.bounds
+        return found.cold_rate * bounds.cold_factor + bounds.cold_slack
+
+    def is_ready(self) -> bool:
+        """Tells whether callers may be sent here."""
+        known = self.reader.known
+        return (
+            not self.stopping.is_set()
+            and known.catalogue is not None
+            and topics.TARGETS in known.read_at
+        )
+
+    def lead(self) -> None:
+        """Tells all others that this instance coordinates."""
+        if self.candidacy.holds:
+            message: messages.Lead = {
+                'kind': 'lead',
+                'sender': self.place.instance,
+                'term': self.candidacy.term,
+            }
+            self.fleet.send_all(message)
+
+    def greet(self, name: str) -> None:
+        """Tells a new instance what is known here, if this one coordinates."""
+        if not self.candidacy.holds:
+            return
+        self.lead()
+        for topic in (topics.OPERATOR, topics.TARGETS):
+            whole = self.reader.whole(topic)
+            if whole is not None:
+                self.fleet.send(name, whole)
+        self.fleet.send(name, self.steward.message())
+
+
+class Entry:
+    """Runs the parts from start to planned stop."""
+
+    def __init__(self, parts: Parts) -> None:
+        """Takes wired parts."""
+        self.parts = parts
+        self.broken: list[BaseException] = []
+        self.loops: set[asyncio.Task[None]] = set()
+        #: Messages left out, by cause.
+        self.rejected: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Runs until a signal asks for a stop."""
+        parts = self.parts
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, parts.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, _note_reload)
+        parts.peers.open()
+        bounds = serving.Bounds(
+            header_bytes=parts.caller_bounds().header_bytes,
+            connections=CALLER_CONNECTIONS,
+            arrival_seconds=parts.caller_bounds().idle_seconds,
+            stop_seconds=int(parts.place.bounds.grace),
+        )
+        readiness = self._readiness(bounds)
+        loops = (
+            parts.candidacy.keep(),
+            parts.enrolment.follow(),
+            parts.enrolment.sweep(),
+            parts.reader.follow_operator(),
+            parts.reader.follow_targets(),
+            parts.steward.keep(),
+            parts.reporting.keep(),
+            self._lead(),
+            self._keep_house(),
+            self._receive(),
+            self._read_tables(),
+            *(server.serve() for server in readiness),
+        )
+        for coroutine in loops:
+            self._start(coroutine)
+        await self._serve_callers(bounds)
+        for task in self.loops:
+            task.cancel()
+        await asyncio.gather(*self.loops, return_exceptions=True)
+        parts.peers.close()
+        loguru.logger.info('stopped')
+        if self.broken:
+            raise self.broken[0]
+
+    def _start(self, coroutine: abc.Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self.loops.add(task)
+        task.add_done_callback(self._check)
+
+    def _check(self, task: asyncio.Task[None]) -> None:
+        error = None if task.cancelled() else task.exception()
+        if error is None:
+            return
+        loguru.logger.opt(exception=error).critical(
+            'broken invariant: {!r}', error
+        )
+        self.broken.append(error)
+        self.parts.stopping.set()
+
+    def _readiness(self, bounds: serving.Bounds) -> list[serving.Server]:
+        """Returns the servers of readiness and metrics."""
+        place = self.parts.place
+        application = applications.Starlette(
+            routes=[
+                routing.Route('/bilberryglade/readiness', self._tell_ready),
+                routing.Route('/metrics', self._tell_metrics),
+            ],
+        )
+        addresses = (place.readiness_address, f'{place.ip}:{METRICS_PORT}')
+        quick = bounds._replace(stop_seconds=1)
+        return [
+            serving.server_for(application, address, quick)
+            for address in addresses
+        ]
+
+    async def _tell_ready(self, _: requests.Request) -> responses.Response:
+        status = 200 if self.parts.is_ready() else 503
+        return responses.Response(status_code=status)
+
+    async def _tell_metrics(self, _: requests.Request) -> responses.Response:
+        return responses.Response(
+            self.parts.exchanges.scrape(), media_type='text/plain'
+        )
+
+    async def _serve_callers(self, bounds: serving.Bounds) -> None:
+        parts = self.parts
+        application = serving.closing(
+            front.application(parts.front), parts.stopping.is_set
+        )
+        server = serving.server_for(
+            application, parts.place.callers_address, bounds
+        )
+        server.config.timeout_keep_alive = int(bounds.arrival_seconds)
+        serve = asyncio.create_task(server.serve())
+        loguru.logger.info('started at {}', parts.place.callers_address)
+        await parts.stopping.wait()
+        began = clock.now()
+        loguru.logger.info('stopping')
+        parts.fleet.send_all(parts.fleet.hello(is_leaving=True))
+        await parts.candidacy.resign()
+        await asyncio.sleep(max(NOTICE_SECONDS - (clock.now() - began), 0))
+        server.should_exit = True
+        left = parts.place.bounds.grace - STOP_MARGIN_SECONDS
+        await asyncio.wait(
+            (serve,), timeout=max(left - (clock.now() - began), 0)
+        )
+
+    async def _lead(self) -> None:
+        while True:
+            self.parts.lead()
+            await asyncio.sleep(LEAD_SECONDS)
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_SECONDS)
+            self.parts.reader.expire()
+            self.parts.sends.forget_gone()
+
+    async def _read_tables(self) -> None:
+        """Reads the owners of keys once, for a start without a coordinator."""
+        while self.parts.steward.tables.version < 0:
+            read = await self.parts.steward.read_tables()
+            if isinstance(read, result.Ok):
+                return
+            await asyncio.sleep(1)
+
+    async def _receive(self) -> None:
+        while True:
+            received = await self.parts.peers.receive()
+            if isinstance(received, result.Err):
+                self._note_rejected(received.err_value.cause)
+                continue
+            message = received.ok_value.message
+            received.ok_value.handler.handle(self.parts, message)
+
+
+    def _note_rejected(self, cause: str) -> None:
+        """Writes a line for the first message that is left out by a cause."""
+        if cause not in self.rejected:
+            loguru.logger.warning('peer message left out: {}', cause)
+        self.rejected[cause] = self.rejected.get(cause, 0) + 1
+
+
+def _note_reload() -> None:
+    loguru.logger.info('reload asked for; settings are read at the start')
+
+
+async def run(place: site.Site) -> None:
+    """Starts an instance at `place` and runs it until its planned stop."""
+    http = sender.Sender(STORE_CONNECTIONS, STORE_ANSWER_BYTES)
+    client = store.StoreClient(place.store_address, http)
+    keys = await enrolment.read_keys(client)
+    await Entry(Parts(place, keys, client)).run()
--- /dev/null
+++ b/src/bilberryglade/_knowledge/knowledge.py
@@ -0,0 +1,67 @@
+"""Everything that the store says, folded by offsets; it never goes back."""
+
+import typing
+
+import immutables
+import loguru
+
+from bilberryglade._knowledge import topics
+from bilberryglade._routing import catalogue as catalogues
+from bilberryglade._targets import directory as directories
+from bilberryglade._values import stored
+
+
+class Domain(typing.NamedTuple):
+    """An operator's word on a failure domain."""
+
+    offset: int
+    is_out: bool
+    #: Seconds at which this was learnt.
+    since: float
+
+
+class Knowledge(typing.NamedTuple):
+    """The state of the store as far as this instance has read it."""
+
+    #: None until a configuration was read.
+    catalogue: catalogues.Catalogue | None = None
+    catalogue_offset: int = -1
+    directory: directories.Directory = directories.Directory()
+    domains: immutables.Map[str, Domain] = immutables.Map()
+    #: Offset up to which each topic was read.
+    ends: immutables.Map[str, int] = immutables.Map()
+    #: Seconds at which each topic was read last, by anybody.
+    read_at: immutables.Map[str, float] = immutables.Map()
+
+    def age(self, topic: str, now: float) -> float:
+        """Returns for how many seconds nothing was heard of a topic."""
+        return now - self.read_at.get(topic, float('-inf'))
+
+    def is_out(self, failure_domain: str) -> bool:
+        """Tells whether operators have taken a failure domain out."""
+        domain = self.domains.get(failure_domain)
+        return domain is not None and domain.is_out
+
+
+def learn(
+    known: Knowledge,
+    topic: str,
+    batch: stored.Batch,
+    read_at: float,
+) -> Knowledge:
+    """Returns the knowledge after `batch`, which was read at `read_at`.
+
+    A whole reading that is older than what is known changes nothing.
+    """
+    end = known.ends.get(topic, -1)
+    if batch.is_whole and batch.end < end:
+        loguru.logger.info('stale reading of {} left out', topic)
+        return known
+    gap = known.age(topic, read_at) if topic in known.read_at else 0.0
+    fold = topics.folds.entries[topic]
+    after = fold(known, topics.Reading(batch, read_at, gap))
+    newest = max(read_at, known.read_at.get(topic, read_at))
+    return after._replace(
+        ends=known.ends.set(topic, max(batch.end, end)),
+        read_at=known.read_at.set(topic, newest),
+    )
--- /dev/null
+++ b/src/bilberryglade/_knowledge/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the knowledge of the store."""
--- /dev/null
+++ b/src/bilberryglade/_knowledge/topics.py
@@ -0,0 +1,32 @@
+"""Registered folds: what the records of a topic change in the knowledge."""
+
+import typing
+from collections import abc
+
+from bilberryglade._values import registry, stored
+
+if typing.TYPE_CHECKING:
+    from bilberryglade._knowledge import knowledge
+
+#: Where operators publish the configuration and take failure domains out.
+OPERATOR: typing.Final = 'keyed.op'
+#: Where targets list themselves.
+TARGETS: typing.Final = 'keyed.servers'
+
+
+class Reading(typing.NamedTuple):
+    """Records of one topic, and what is known of their age."""
+
+    batch: stored.Batch
+    #: Seconds at which the store was asked, by this instance's clock.
+    read_at: float
+    #: Seconds for which nothing had been known of the topic before.
+    gap: float
+
+
+Fold: typing.TypeAlias = abc.Callable[
+    ['knowledge.Knowledge', Reading],
+    'knowledge.Knowledge',
+]
+
+folds: typing.Final = registry.Registry[Fold]('topic fold')
--- /dev/null
+++ b/src/bilberryglade/_membership/candidacy.py
@@ -0,0 +1,200 @@
+"""The loop that claims, renews and gives up the coordinator's lease."""
+
+import asyncio
+import random
+import typing
+from collections import abc
+
+import loguru
+import result
+
+from bilberryglade._codec import codec
+from bilberryglade._membership import fleet, leadership
+from bilberryglade._values import clock, stored
+from bilberryglade.platform import store
+from bilberryglade_schema import fleet as messages
+
+TOPIC: typing.Final = 'keyed.coordinator'
+KEY: typing.Final = 'lease'
+#: Seconds of the coordinator's silence from which its lease is looked at.
+SILENCE_SECONDS: typing.Final = 1.6
+#: Seconds between two looks; drawn anew each time so that few come together.
+LOOK_SECONDS: typing.Final = (0.25, 0.55)
+IDLE_SECONDS: typing.Final = 0.2
+#: Seconds after a call that failed.
+RETRY_SECONDS: typing.Final = 0.25
+
+
+class Candidacy:
+    """Keeps the lease of this instance, or watches that of another."""
+
+    def __init__(self, members: fleet.Fleet, client: store.StoreClient) -> None:
+        """Starts as a follower of nobody."""
+        self.members = members
+        self.client = client
+        self.state = leadership.State()
+        self.sequence = 0
+        #: Seconds before which each own claim was sent, by its number.
+        self.sent: dict[int, float] = {}
+        #: Seconds at which the store last confirmed an own claim.
+        self.confirmed_at = 0.0
+        #: Name of the coordinator, '' while none is known.
+        self.coordinator = ''
+        self.term = -1
+        #: Called when this instance becomes the coordinator.
+        self.on_start: list[abc.Callable[[], None]] = []
+
+    @property
+    def holds(self) -> bool:
+        """Whether this instance coordinates now."""
+        return leadership.holds(self.state, clock.now())
+
+    def hear(self, lead: messages.Lead) -> None:
+        """Takes in the coordinator's sign of life."""
+        if lead['term'] < self.term:
+            return
+        if lead['term'] > self.term:
+            loguru.logger.info(
+                'coordinator known: {} term {}', lead['sender'], lead['term']
+            )
+        self.coordinator = lead['sender']
+        self.term = lead['term']
+
+    async def keep(self) -> None:
+        """Runs until it is cancelled."""
+        while True:
+            if self.state.role is leadership.Role.coordinator:
+                await self._renew()
+            elif self._is_led():
+                await asyncio.sleep(IDLE_SECONDS)
+            else:
+                await self._look()
+
+    async def resign(self) -> None:
+        """Gives up the lease at once, for a planned stop."""
+        held = self.holds
+        newest = self.state.newest
+        self.state = leadership.resigned(self.state)
+        if held:
+            await self._append(newest + 1, is_resigned=True)
+            loguru.logger.info('coordinator resigned: term {}', self.term)
+
+    def _is_led(self) -> bool:
+        if self.state.role is leadership.Role.resigned:
+            return True
+        if not self.coordinator or self.coordinator == self.members.own.name:
+            return False
+        return self.members.silence_of(self.coordinator) < SILENCE_SECONDS
+
+    async def _renew(self) -> None:
+        began = clock.now()
+        if not self.holds:
+            self._lose('lease ended')
+            return
+        sent_at = clock.now()
+        appended = await self._append(self.state.newest + 1, is_resigned=False)
+        if isinstance(appended, result.Ok):
+            self._hold(appended.ok_value, sent_at)
+        elif appended.err_value is not stored.Failure.refused:
+            await self._read()
+        failed = isinstance(appended, result.Err)
+        pause = RETRY_SECONDS if failed else leadership.RENEWAL_SECONDS
+        await asyncio.sleep(max(pause - (clock.now() - began), 0.05))
+
+    async def _look(self) -> None:
+        is_read = await self._read()
+        own = self.members.own
+        may_claim = is_read and leadership.may_claim(
+            self.state, own.name, own.boot, clock.now()
+        )
+        if may_claim:
+            seen = self.state.seen
+            sent_at = clock.now()
+            end = 0 if seen is None else seen.offset + 1
+            appended = await self._append(end, is_resigned=False)
+            if isinstance(appended, result.Ok):
+                self._hold(appended.ok_value, sent_at)
+                return
+        await asyncio.sleep(random.uniform(*LOOK_SECONDS))
+
+    async def _read(self) -> bool:
+        """Reads the newest claim; returns whether the store answered."""
+        newest = await self.client.newest(TOPIC)
+        if isinstance(newest, result.Err):
+            return False
+        self.state = leadership.observe(
+            self.state, _seen(newest.ok_value, clock.now())
+        )
+        seen = self.state.seen
+        if seen is None:
+            return True
+        own = self.members.own
+        is_own = (seen.holder, seen.boot) == (own.name, own.boot)
+        if is_own and seen.sequence in self.sent and not seen.is_resigned:
+            if self.state.role is leadership.Role.coordinator:
+                self._hold(seen.offset, self.sent[seen.sequence])
+        elif self.state.role is leadership.Role.coordinator:
+            self._lose(f'claim of {seen.holder}')
+        return True
+
+    async def _append(
+        self,
+        end: int,
+        *,
+        is_resigned: bool,
+    ) -> result.Result[int, stored.Failure]:
+        self.sequence += 1
+        self.sent = {
+            number: moment
+            for number, moment in self.sent.items()
+            if number > self.sequence - 8
+        }
+        self.sent[self.sequence] = clock.now()
+        claim: messages.Claim = {
+            'holder': self.members.own.name,
+            'boot': self.members.own.boot,
+            'sequence': self.sequence,
+            'is_resigned': is_resigned,
+        }
+        return await self.client.append(
+            TOPIC,
+            KEY,
+            codec.encode_packed(claim),
+            stored.Condition(end=end),
+        )
+
+    def _hold(self, offset: int, sent_at: float) -> None:
+        was_coordinator = self.state.role is leadership.Role.coordinator
+        if self.state.role is leadership.Role.resigned:
+            return
+        self.state = leadership.claimed(self.state, offset, sent_at)
+        self.confirmed_at = sent_at
+        if was_coordinator:
+            return
+        self.coordinator = self.members.own.name
+        self.term = self.state.term
+        loguru.logger.info('coordinator here: term {}', self.term)
+        for listener in self.on_start:
+            listener()
+
+    def _lose(self, why: str) -> None:
+        self.state = leadership.lost(self.state)
+        self.coordinator = ''
+        loguru.logger.info('coordinator no more: {}', why)
+
+
+def _seen(batch: stored.Batch, now: float) -> leadership.Seen | None:
+    for record in batch.records:
+        if record.key != KEY or record.payload is None:
+            continue
+        claim = codec.decode_packed(record.payload, messages.Claim)
+        if isinstance(claim, result.Ok):
+            return leadership.Seen(
+                offset=record.offset,
+                holder=claim.ok_value['holder'],
+                boot=claim.ok_value['boot'],
+                sequence=claim.ok_value['sequence'],
+                is_resigned=claim.ok_value['is_resigned'],
+                first_seen=now,
+            )
+    return None
--- /dev/null
+++ b/src/bilberryglade/_membership/enrolment.py
@@ -0,0 +1,162 @@
+"""How an instance joins the fleet: by the store, which is the trust root.
+
+Whoever may write to the store is an instance. The key pair that all instances
+share is kept there by a conditional append, so that the first one to start
+makes it and all others take it over.
+"""
+
+import asyncio
+import typing
+
+import loguru
+import result
+import zmq
+
+from bilberryglade._codec import codec
+from bilberryglade._membership import candidacy, fleet
+from bilberryglade._values import clock, stored
+from bilberryglade.platform import store
+from bilberryglade_schema import fleet as messages
+
+KEYS_TOPIC: typing.Final = 'keyed.peer-keys'
+KEYS_KEY: typing.Final = 'pair'
+MEMBERS_TOPIC: typing.Final = 'keyed.members'
+#: Milliseconds for which a read of the members waits for news.
+WAIT_MS: typing.Final = 20_000
+RETRY_SECONDS: typing.Final = 0.4
+#: Seconds of silence after which the coordinator takes a member off the list.
+SILENT_SECONDS: typing.Final = 15.0
+SWEEP_SECONDS: typing.Final = 5.0
+
+
+async def read_keys(client: store.StoreClient) -> messages.PeerKeys:
+    """Returns the fleet's key pair; asks until the store has answered."""
+    while True:
+        newest = await client.newest(KEYS_TOPIC)
+        if isinstance(newest, result.Ok):
+            keys = _keys_in(newest.ok_value)
+            if keys is not None:
+                return keys
+            await client.append(
+                KEYS_TOPIC,
+                KEYS_KEY,
+                codec.encode_packed(_new_keys()),
+                stored.Condition(end=newest.ok_value.end),
+            )
+            continue
+        await asyncio.sleep(RETRY_SECONDS)
+
+
+class Enrolment:
+    """Keeps this instance's entry, and follows those of the others."""
+
+    def __init__(
+        self,
+        members: fleet.Fleet,
+        client: store.StoreClient,
+        lease: candidacy.Candidacy,
+    ) -> None:
+        """Has not joined yet."""
+        self.members = members
+        self.client = client
+        self.lease = lease
+        #: Whether the others' entries were read once.
+        self.is_read = False
+
+    async def join(self) -> None:
+        """Writes this instance's entry; asks until the store took it."""
+        own = self.members.own
+        entry: messages.Member = {
+            'boot': own.boot,
+            'address': own.address,
+            'failure_domain': own.failure_domain,
+        }
+        payload = codec.encode_packed(entry)
+        while True:
+            appended = await self.client.append(
+                MEMBERS_TOPIC, own.name, payload
+            )
+            if isinstance(appended, result.Ok):
+                return
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def follow(self) -> None:
+        """Joins, then follows the list until cancelled."""
+        end: int | None = None
+        await self.join()
+        while True:
+            if end is None:
+                batch = await self.client.newest(MEMBERS_TOPIC)
+            else:
+                batch = await self.client.read(MEMBERS_TOPIC, end, WAIT_MS)
+            if isinstance(batch, result.Err):
+                end = None
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            end = batch.ok_value.end
+            was_listed = self._take(batch.ok_value)
+            if not was_listed:
+                await self.join()
+            if not self.is_read:
+                self.is_read = True
+                self.members.send_all(self.members.hello(is_leaving=False))
+
+    async def sweep(self) -> None:
+        """Takes silent members off the list while coordinating."""
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            if not self.lease.holds:
+                continue
+            for member in self.members.others():
+                self.members.heard.setdefault(
+                    member.name, clock.now()
+                )
+                if self.members.silence_of(member.name) > SILENT_SECONDS:
+                    loguru.logger.info('member {} is gone', member.name)
+                    await self.client.append(MEMBERS_TOPIC, member.name, b'')
+
+    def _take(self, batch: stored.Batch) -> bool:
+        """Takes in entries; returns False if this instance lost its own."""
+        own = self.members.own.name
+        is_listed = True
+        named = {record.key for record in batch.records}
+        for record in batch.records:
+            if record.key == own:
+                is_listed = record.payload is not None
+                continue
+            if record.payload is None:
+                self.members.drop(record.key)
+                continue
+            entry = codec.decode_packed(record.payload, messages.Member)
+            if isinstance(entry, result.Err):
+                loguru.logger.warning('member {} unreadable', record.key)
+                continue
+            self.members.take(
+                fleet.Member(
+                    name=record.key,
+                    boot=entry.ok_value['boot'],
+                    address=entry.ok_value['address'],
+                    failure_domain=entry.ok_value['failure_domain'],
+                    offset=record.offset,
+                ),
+            )
+        if batch.is_whole:
+            for member in self.members.others():
+                if member.name not in named and member.offset >= 0:
+                    self.members.drop(member.name)
+            is_listed = is_listed and own in named
+        return is_listed
+
+
+def _keys_in(batch: stored.Batch) -> messages.PeerKeys | None:
+    for record in batch.records:
+        if record.key == KEYS_KEY and record.payload is not None:
+            decoded = codec.decode_packed(record.payload, messages.PeerKeys)
+            if isinstance(decoded, result.Ok):
+                return decoded.ok_value
+    return None
+
+
+def _new_keys() -> messages.PeerKeys:
+    public, secret = zmq.curve_keypair()
+    return {'public_key': public.decode(), 'secret_key': secret.decode()}
--- /dev/null
+++ b/src/bilberryglade/_membership/fleet.py
@@ -0,0 +1,104 @@
+"""The instances of the fleet, as the store lists them and peers say."""
+
+import typing
+from collections import abc
+
+from bilberryglade._peers import network
+from bilberryglade._values import clock
+from bilberryglade_schema import fleet as messages
+
+
+class Member(typing.NamedTuple):
+    """One instance."""
+
+    name: str
+    #: Another one after each start.
+    boot: str
+    #: IP number and port for messages of peers.
+    address: str
+    failure_domain: str
+    #: Offset of its entry in the store; -1 if only its message is known.
+    offset: int = -1
+
+
+class Fleet:
+    """All known instances; every message to peers goes through here."""
+
+    def __init__(self, own: Member, peers: network.PeerNetwork) -> None:
+        """Knows nobody but itself."""
+        self.own = own
+        self.peers = peers
+        self.members: dict[str, Member] = {own.name: own}
+        #: Seconds at which a message of a member arrived last.
+        self.heard: dict[str, float] = {}
+        #: Called with the address of an instance that is new or restarted.
+        self.listeners: list[abc.Callable[[str], None]] = []
+
+    def others(self) -> list[Member]:
+        """Returns every member but this instance."""
+        return [
+            member
+            for member in self.members.values()
+            if member.name != self.own.name
+        ]
+
+    def take(self, member: Member) -> None:
+        """Takes in a member that the store or the member itself named."""
+        if member.name == self.own.name:
+            return
+        known = self.members.get(member.name)
+        if known is not None and member.offset < known.offset:
+            return
+        self.members[member.name] = member
+        if known is not None and known.boot == member.boot:
+            return
+        if known is not None and known.address != member.address:
+            self._forget_sockets()
+        for listener in self.listeners:
+            listener(member.address)
+
+    def drop(self, name: str) -> None:
+        """Takes in that the store does not list an instance any more."""
+        if name in self.members and name != self.own.name:
+            self.members.pop(name)
+            self.heard.pop(name, None)
+            self._forget_sockets()
+
+    def offset_of(self, name: str) -> int:
+        """Returns the offset of a member's entry in the store, or -1."""
+        known = self.members.get(name)
+        return -1 if known is None else known.offset
+
+    def hear(self, sender: str) -> None:
+        """Notes a message of a peer."""
+        self.heard[sender] = clock.now()
+
+    def silence_of(self, name: str) -> float:
+        """Returns the seconds since a message of `name` arrived."""
+        return clock.now() - self.heard.get(name, float('-inf'))
+
+    def send(self, name: str, message: abc.Mapping[str, object]) -> bool:
+        """Sends to one member; returns False if it cannot be queued."""
+        member = self.members.get(name)
+        return member is not None and self.peers.send(member.address, message)
+
+    def send_all(self, message: abc.Mapping[str, object]) -> None:
+        """Sends to every other member."""
+        for member in self.others():
+            self.peers.send(member.address, message)
+
+    def hello(self, *, is_leaving: bool) -> messages.Hello:
+        """Returns the message that this instance is here, or about to stop."""
+        return {
+            'kind': 'hello',
+            'sender': self.own.name,
+            'boot': self.own.boot,
+            'address': self.own.address,
+            'failure_domain': self.own.failure_domain,
+            'is_leaving': is_leaving,
+        }
+
+    def _forget_sockets(self) -> None:
+        self.peers.forget(
+            {member.address for member in self.members.values()},
+        )
--- /dev/null
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -0,0 +1,98 @@
+"""Counters and histograms of the platform's requests, and their lines."""
+
+import typing
+
+import loguru
+import prometheus_client
+
+from bilberryglade._delivery import router
+from bilberryglade._knowledge import reading, topics
+from bilberryglade._ownership import steward
+from bilberryglade._routing import admission
+from bilberryglade._values import clock, outcomes
+
+BUCKETS: typing.Final = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.5,
+    0.8,
+    1.2,
+    2.0,
+    5.0,
+)
+MILLISECONDS: typing.Final = 1000
+
+
+class Exchanges:
+    """Counts exchanges with callers and writes a line for each."""
+
+    def __init__(
+        self,
+        reader: reading.Reader,
+        keeper: steward.Steward,
+    ) -> None:
+        """Starts at zero."""
+        self.reader = reader
+        self.keeper = keeper
+        self.registry = prometheus_client.CollectorRegistry()
+        self.seconds = prometheus_client.Histogram(
+            'bilberryglade_request_seconds',
+            'Time from the arrival of a request to its answer.',
+            ('organisation', 'route'),
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
+        self.outcomes = prometheus_client.Counter(
+            'bilberryglade_requests',
+            'Requests by what became of them.',
+            ('service', 'outcome', 'reason'),
+            registry=self.registry,
+        )
+
+    def take(
+        self,
+        request: admission.Incoming,
+        delivered: router.Delivered,
+        status: int,
+        seconds: float,
+    ) -> None:
+        """Takes in an exchange that has ended."""
+        outcome = delivered.outcome
+        kind = type(outcome).__name__
+        reason = ''
+        if not isinstance(outcome, outcomes.Answered):
+            reason = str(outcome.reason)
+        self.seconds.labels(delivered.organisation, delivered.route).observe(
+            seconds
+        )
+        self.outcomes.labels(delivered.service, kind, reason).inc()
+        known = self.reader.known
+        now = clock.now()
+        loguru.logger.bind(
+            request=request.request_id,
+            route=delivered.route,
+            organisation=delivered.organisation,
+            service=delivered.service,
+            key=request.routing_key,
+            targets=delivered.targets,
+            outcome=kind,
+            reason=reason,
+            status=status,
+            ms=int(seconds * MILLISECONDS),
+            retry_after_ms=delivered.retry_after_ms,
+            configuration=known.catalogue and known.catalogue.version,
+            tables=self.keeper.tables.version,
+            targets_age_ms=int(
+                known.age(topics.TARGETS, now) * MILLISECONDS
+            )
+            if topics.TARGETS in known.read_at
+            else None,
+        ).info('request')
+
+    def scrape(self) -> bytes:
+        """Returns all counters as text."""
+        return prometheus_client.generate_latest(self.registry)
--- /dev/null
+++ b/src/bilberryglade/_ownership/holds.py
@@ -0,0 +1,164 @@
+"""What is known of the leases that targets may hold, and when a key is free.
+
+A lease that a target may hold ends when the target confirms its release, when
+its whole time has passed since the last order that may still arrive, or when
+the target has started again.
+"""
+
+import typing
+
+from bilberryglade._ownership import ranges
+
+#: A target's clock that measures a lease may run slow by this part.
+TARGET_DRIFT_PART: typing.Final = 0.02
+#: Seconds added to the end of a lease for work on the way.
+LEASE_MARGIN_SECONDS: typing.Final = 0.3
+
+
+class Hold(typing.NamedTuple):
+    """Keys that a target may hold because of orders sent to it."""
+
+    first: int
+    last: int
+    owner: ranges.Owner
+    fence: int
+    #: Seconds at which the last lease that was ordered ends for certain.
+    until: float
+    #: The same for orders that were not answered: they may be carried out
+    #: after a release.
+    unanswered_until: float = 0
+    is_released: bool = False
+    #: What the target said at its release.
+    handover: str = ''
+
+
+
+def lease_end(sent_at: float, seconds: float) -> float:
+    """Returns when a lease ordered at `sent_at` has ended for certain."""
+    return sent_at + seconds * (1 + TARGET_DRIFT_PART) + LEASE_MARGIN_SECONDS
+
+
+def ordered(
+    holds: tuple[Hold, ...],
+    entry: ranges.Range,
+    until: float,
+) -> tuple[Hold, ...]:
+    """Takes in that a lease is being ordered, before the order is sent."""
+    kept: list[Hold] = []
+    found = False
+    for hold in holds:
+        if _is_same(hold, entry):
+            found = True
+            hold = hold._replace(
+                until=max(hold.until, until),
+                unanswered_until=max(hold.unanswered_until, until),
+                is_released=False,
+            )
+        kept.append(hold)
+    if not found:
+        kept.append(
+            Hold(
+                entry.first,
+                entry.last,
+                entry.owner,
+                entry.fence,
+                until,
+                unanswered_until=until,
+            ),
+        )
+    return tuple(kept)
+
+
+def confirmed(
+    holds: tuple[Hold, ...],
+    entry: ranges.Range,
+    before: float,
+) -> tuple[Hold, ...]:
+    """Takes in the answer to an order; `before` is the end of older doubts."""
+    return tuple(
+        hold._replace(unanswered_until=before)
+        if _is_same(hold, entry)
+        else hold
+        for hold in holds
+    )
+
+
+def withdrawn(
+    holds: tuple[Hold, ...],
+    before: tuple[Hold, ...],
+    entry: ranges.Range,
+) -> tuple[Hold, ...]:
+    """Takes back an order of which no byte was sent."""
+    kept = [hold for hold in holds if not _is_same(hold, entry)]
+    kept.extend(hold for hold in before if _is_same(hold, entry))
+    return tuple(kept)
+
+
+def released(
+    holds: tuple[Hold, ...],
+    hold: Hold,
+    entry: ranges.Range,
+    handover: str,
+) -> tuple[Hold, ...]:
+    """Takes in that a target gave back those keys of `hold` in `entry`."""
+    first = max(hold.first, entry.first)
+    last = min(hold.last, entry.last)
+    pieces = (
+        hold._replace(last=first - 1),
+        hold._replace(
+            first=first, last=last, is_released=True, handover=handover
+        ),
+        hold._replace(first=last + 1),
+    )
+    kept = [known for known in holds if known != hold]
+    kept.extend(piece for piece in pieces if piece.first <= piece.last)
+    return tuple(kept)
+
+
+def in_the_way(
+    holds: tuple[Hold, ...],
+    entry: ranges.Range,
+    lives: dict[str, int],
+    now: float,
+) -> tuple[Hold, ...]:
+    """Returns the holds of others that keep a range from its new owner.
+
+    `lives` has the moment of the newest start of each listed target: an
+    earlier life of it holds nothing.
+    """
+    return tuple(
+        hold
+        for hold in holds
+        if hold.owner != entry.owner
+        and hold.first <= entry.last
+        and hold.last >= entry.first
+        and is_held(hold, lives, now)
+    )
+
+
+def is_held(hold: Hold, lives: dict[str, int], now: float) -> bool:
+    """Tells whether the target may hold the keys at `now`."""
+    born = lives.get(hold.owner.target, hold.owner.born)
+    if born > hold.owner.born:
+        return False
+    if hold.is_released:
+        return now < hold.unanswered_until
+    return now < hold.until
+
+
+def without_ended(
+    holds: tuple[Hold, ...],
+    lives: dict[str, int],
+    now: float,
+) -> tuple[Hold, ...]:
+    """Drops what no target can hold any more."""
+    return tuple(hold for hold in holds if is_held(hold, lives, now))
+
+
+def _is_same(hold: Hold, entry: ranges.Range) -> bool:
+    return (hold.first, hold.last, hold.owner, hold.fence) == (
+        entry.first,
+        entry.last,
+        entry.owner,
+        entry.fence,
+    )
--- /dev/null
+++ b/src/bilberryglade/_ownership/planning.py
@@ -0,0 +1,226 @@
+"""Decides which target owns which keys.
+
+Keys leave their owner only if it is gone, leaving, taken out, or carries far
+more than others; a move costs warm state. The load that this answers: some
+keys are much busier than others, busy keys are close together and change
+within minutes.
+"""
+
+import typing
+from collections import abc
+
+from bilberryglade._ownership import ranges
+from bilberryglade._values import leases
+
+#: An owner gives keys away from this many times the mean load on.
+HEAVY_RATIO: typing.Final = 1.5
+#: An owner takes keys up to this many times the mean load.
+LIGHT_RATIO: typing.Final = 0.9
+#: Requests a second below which nobody counts as heavy.
+LEAST_HEAVY_LOAD: typing.Final = 4.0
+#: Most pieces that the keys of a lost owner are divided into.
+MOST_HEIRS: typing.Final = 3
+
+
+class Plan(typing.NamedTuple):
+    """The table that is wanted, and what it changes."""
+
+    table: ranges.Table
+    is_changed: bool
+
+
+def plan(
+    table: ranges.Table,
+    candidates: abc.Sequence[ranges.Candidate],
+    loads: ranges.Loads,
+    may_balance: bool,
+) -> Plan:
+    """Returns the wanted table; it is empty while there is no candidate."""
+    if not candidates:
+        return Plan(table, is_changed=False)
+    if not table:
+        fresh = ranges.divide(0, leases.LAST_KEY, candidates, loads)
+        return Plan(fresh, is_changed=True)
+    wanted = _inherited(table, candidates, loads)
+    wanted = _with_newcomers(wanted, candidates, loads)
+    if may_balance and wanted == table:
+        wanted = _balanced(wanted, candidates, loads)
+    wanted = ranges.merged(wanted)
+    return Plan(wanted, is_changed=wanted != ranges.merged(table))
+
+
+def owner_loads(
+    table: ranges.Table,
+    candidates: abc.Sequence[ranges.Candidate],
+    loads: ranges.Loads,
+) -> dict[ranges.Owner, float]:
+    """Returns the load of each candidate by weight."""
+    found = {candidate.owner: 0.0 for candidate in candidates}
+    for entry in table:
+        if entry.owner in found:
+            found[entry.owner] += ranges.load_of(
+                entry.first, entry.last, loads
+            )
+    return {
+        candidate.owner: found[candidate.owner] / candidate.weight
+        for candidate in candidates
+    }
+
+
+def _inherited(
+    table: ranges.Table,
+    candidates: abc.Sequence[ranges.Candidate],
+    loads: ranges.Loads,
+) -> ranges.Table:
+    """Gives the keys of owners that are no candidates to others.
+
+    A target that started again keeps its keys: it has to be granted them
+    anew, which is no move.
+    """
+    alive = {candidate.owner: candidate for candidate in candidates}
+    lives = {candidate.owner.target: candidate for candidate in candidates}
+    busy = owner_loads(table, candidates, loads)
+    kept: list[ranges.Range] = []
+    for entry in table:
+        if entry.owner in alive:
+            kept.append(entry)
+            continue
+        reborn = lives.get(entry.owner.target)
+        if reborn is not None:
+            kept.append(
+                ranges.Range(
+                    entry.first, entry.last, reborn.owner, ranges.NEW_FENCE
+                )
+            )
+            continue
+        heirs = sorted(candidates, key=lambda heir: busy[heir.owner])
+        pieces = ranges.divide(
+            entry.first,
+            entry.last,
+            heirs[: _heirs_for(entry, loads)],
+            loads,
+        )
+        for piece in pieces:
+            load = ranges.load_of(piece.first, piece.last, loads)
+            busy[piece.owner] += load / alive[piece.owner].weight
+        kept.extend(pieces)
+    return tuple(kept)
+
+
+def _heirs_for(entry: ranges.Range, loads: ranges.Loads) -> int:
+    load = ranges.load_of(entry.first, entry.last, loads)
+    pieces = int(load / LEAST_HEAVY_LOAD) + 1
+    return min(pieces, MOST_HEIRS)
+
+
+def _with_newcomers(
+    table: ranges.Table,
+    candidates: abc.Sequence[ranges.Candidate],
+    loads: ranges.Loads,
+) -> ranges.Table:
+    """Gives each candidate without keys a part of the heaviest owner's."""
+    owners = {entry.owner for entry in table}
+    for candidate in candidates:
+        if candidate.owner not in owners:
+            table = _shared(table, candidate, candidates, loads)
+    return table
+
+
+def _shared(
+    table: ranges.Table,
+    taker: ranges.Candidate,
+    candidates: abc.Sequence[ranges.Candidate],
+    loads: ranges.Loads,
+) -> ranges.Table:
+    busy = owner_loads(table, candidates, loads)
+    for giver in sorted(busy, key=lambda owner: -busy[owner]):
+        place = _largest(table, giver, loads)
+        if place is None:
+            continue
+        pieces = _cut(table[place], taker.owner, loads)
+        if pieces:
+            return (*table[:place], *pieces, *table[place + 1 :])
+    return table
+
+
+def _balanced(
+    table: ranges.Table,
+    candidates: abc.Sequence[ranges.Candidate],
+    loads: ranges.Loads,
+) -> ranges.Table:
+    """Moves a part of the heaviest owner's keys to the lightest."""
+    busy = owner_loads(table, candidates, loads)
+    mean = sum(busy.values()) / len(busy)
+    heavy = max(busy, key=lambda owner: busy[owner])
+    light = min(busy, key=lambda owner: busy[owner])
+    weights = {one.owner: one.weight for one in candidates}
+    if busy[heavy] < max(
+        mean * HEAVY_RATIO, LEAST_HEAVY_LOAD / weights[heavy]
+    ):
+        return table
+    if busy[light] > mean * LIGHT_RATIO:
+        return table
+    place = _largest(table, heavy, loads)
+    if place is None:
+        return table
+    spare = (busy[heavy] - busy[light]) / 2 * weights[heavy]
+    pieces = _cut(table[place], light, loads, spare)
+    if not pieces:
+        return table
+    return (*table[:place], *pieces, *table[place + 1 :])
+
+
+def _largest(
+    table: ranges.Table,
+    owner: ranges.Owner,
+    loads: ranges.Loads,
+) -> int | None:
+    """Returns the place of the owner's busiest range that can be cut."""
+    places = [
+        place
+        for place, entry in enumerate(table)
+        if entry.owner == owner
+        and ranges.block_of(entry.first) != ranges.block_of(entry.last)
+    ]
+    if not places:
+        return None
+    return max(
+        places,
+        key=lambda place: ranges.load_of(
+            table[place].first, table[place].last, loads
+        ),
+    )
+
+
+def _cut(
+    entry: ranges.Range,
+    taker: ranges.Owner,
+    loads: ranges.Loads,
+    most_load: float | None = None,
+) -> tuple[ranges.Range, ...]:
+    """Cuts a range where the smaller part has half its load, or less.
+
+    The part without the busiest block goes to `taker`, so that a hot key
+    stays where it is and what lies beside it moves away from it.
+    """
+    first_block = ranges.block_of(entry.first)
+    last_block = ranges.block_of(entry.last)
+    total = ranges.load_of(entry.first, entry.last, loads)
+    wanted = total / 2 if most_load is None else min(most_load, total / 2)
+    passed = 0.0
+    best = first_block + 1
+    best_gap = float('inf')
+    for block in range(first_block + 1, last_block + 1):
+        passed += loads.get(block - 1, 0.0) + ranges.BASE_LOAD
+        moved = min(passed, total - passed)
+        gap = abs(moved - wanted)
+        if gap < best_gap:
+            best, best_gap = block, gap
+    border = best * ranges.BLOCK_KEYS
+    left = entry._replace(last=border - 1)
+    right = entry._replace(first=border)
+    left_load = ranges.load_of(left.first, left.last, loads)
+    if left_load <= total - left_load:
+        moved_left = left._replace(owner=taker, fence=ranges.NEW_FENCE)
+        return (moved_left, right)
+    return (left, right._replace(owner=taker, fence=ranges.NEW_FENCE))
--- /dev/null
+++ b/src/bilberryglade/_ownership/ranges.py
@@ -0,0 +1,137 @@
+"""Ranges of keys and their owners: a table that only the coordinator changes.
+
+A table covers all keys of a service without gap or overlap. A range that
+changes hands gets the offset of the table's record as its new fence.
+"""
+
+import typing
+from collections import abc
+
+from bilberryglade._values import leases
+
+#: Keys are counted in blocks of so many; a range begins at a block.
+BLOCK_KEYS: typing.Final = 64
+BLOCKS: typing.Final = (leases.LAST_KEY + 1) // BLOCK_KEYS
+#: Fence of a range whose record has not been written yet.
+NEW_FENCE: typing.Final = 0
+
+
+class Owner(typing.NamedTuple):
+    """One life of a target."""
+
+    target: str
+    born: int
+
+
+class Range(typing.NamedTuple):
+    """Keys from `first` to `last`, both inclusive, of one owner."""
+
+    first: int
+    last: int
+    owner: Owner
+    fence: int
+
+
+class Candidate(typing.NamedTuple):
+    """A target that may own keys."""
+
+    owner: Owner
+    #: Requests that it can run at the same time, weighted by its speed.
+    weight: float
+
+
+Table: typing.TypeAlias = tuple[Range, ...]
+#: Requests a second by block.
+Loads: typing.TypeAlias = abc.Mapping[int, float]
+#: Requests a second that every block counts for besides its own.
+BASE_LOAD: typing.Final = 0.02
+
+
+def owner_of(table: Table, key: int) -> Range | None:
+    """Returns the range that holds `key`, or None if the table is empty."""
+    low, high = 0, len(table)
+    while low < high:
+        middle = (low + high) // 2
+        if table[middle].last < key:
+            low = middle + 1
+        else:
+            high = middle
+    if low == len(table) or table[low].first > key:
+        return None
+    return table[low]
+
+
+def block_of(key: int) -> int:
+    """Returns the block of a key."""
+    return key // BLOCK_KEYS
+
+
+def load_of(first: int, last: int, loads: Loads) -> float:
+    """Returns the requests a second on the keys from `first` to `last`."""
+    blocks = range(block_of(first), block_of(last) + 1)
+    return sum(loads.get(block, 0.0) + BASE_LOAD for block in blocks)
+
+
+def divide(
+    first: int,
+    last: int,
+    owners: abc.Sequence[Candidate],
+    loads: Loads,
+) -> Table:
+    """Divides keys over `owners` by their weights and the blocks' loads."""
+    total_weight = sum(owner.weight for owner in owners)
+    total_load = load_of(first, last, loads)
+    pieces: list[Range] = []
+    begin = first
+    passed = 0.0
+    due = 0.0
+    block = block_of(first)
+    last_block = block_of(last)
+    for place, candidate in enumerate(owners):
+        due += total_load * candidate.weight / total_weight
+        blocks_left = len(owners) - place - 1
+        end = begin - 1
+        while block <= last_block - blocks_left and (
+            end < begin or passed < due or not blocks_left
+        ):
+            passed += loads.get(block, 0.0) + BASE_LOAD
+            end = min((block + 1) * BLOCK_KEYS - 1, last)
+            block += 1
+        if end < begin:
+            break
+        pieces.append(Range(begin, end, candidate.owner, NEW_FENCE))
+        begin = end + 1
+    return tuple(pieces)
+
+
+def with_fence(table: Table, fence: int) -> Table:
+    """Gives new ranges their fence."""
+    return tuple(
+        entry._replace(fence=fence) if entry.fence == NEW_FENCE else entry
+        for entry in table
+    )
+
+
+def merged(table: Table) -> Table:
+    """Joins neighbours that have the same owner and fence."""
+    joined: list[Range] = []
+    for entry in table:
+        if joined and _are_one(joined[-1], entry):
+            joined[-1] = joined[-1]._replace(last=entry.last)
+        else:
+            joined.append(entry)
+    return tuple(joined)
+
+
+def is_whole(table: Table) -> bool:
+    """Tells whether a table covers every key once."""
+    due = 0
+    for entry in table:
+        if entry.first != due or entry.last < entry.first:
+            return False
+        due = entry.last + 1
+    return due == leases.LAST_KEY + 1
+
+
+def _are_one(left: Range, right: Range) -> bool:
+    return left.owner == right.owner and left.fence == right.fence
--- /dev/null
+++ b/src/bilberryglade/_targets/choosing.py
@@ -0,0 +1,124 @@
+"""Chooses the target of a request, or says at once that none can serve it.
+
+The load that this answers: targets of unequal speed, stragglers, targets that
+fail part of their work, cold ones that bear a few requests a second, and
+bursts in which waiting longer serves nobody.
+"""
+
+import typing
+from collections import abc
+
+from bilberryglade._targets import directory, standing
+from bilberryglade._values import outcomes
+
+#: Factor on the cost of a target in another failure domain.
+REMOTE_FACTOR: typing.Final = 1.08
+#: Factor on the cost of a cold target.
+COLD_FACTOR: typing.Final = 1.5
+#: Shortest time between two requests of one instance to a cold target.
+COLD_SPACING_SECONDS: typing.Final = 1.06
+#: Part of the time left that a request may be expected to wait.
+WAITING_PART: typing.Final = 0.5
+#: Bounds of the time after which a refused caller may come back.
+LEAST_RETRY_SECONDS: typing.Final = 0.08
+MOST_RETRY_SECONDS: typing.Final = 0.6
+
+
+class View(typing.NamedTuple):
+    """A target as this instance sees it."""
+
+    target: directory.Target
+    standing: standing.Standing
+    #: Whether this instance may send to it while it is cold.
+    may_warm: bool
+
+
+class Demand(typing.NamedTuple):
+    """What a request needs of a target; times are in seconds."""
+
+    failure_domain: str
+    #: Time left until its answer loses most of its value; may be negative.
+    aim_left: float
+    #: Time left until its caller gives up.
+    time_left: float
+    #: Names of targets that had it before.
+    tried: frozenset[str]
+
+
+class Refusal(typing.NamedTuple):
+    """No target can serve a request now."""
+
+    reason: outcomes.Reason
+    #: Seconds after which a target is expected to have room.
+    retry_seconds: float
+
+
+def choose(
+    views: abc.Sequence[View],
+    demand: Demand,
+    now: float,
+) -> View | Refusal:
+    """Returns the target with the lowest expected cost for the request."""
+    usable = [view for view in views if _is_usable(view, demand, now)]
+    if not usable:
+        return _unusable(views, now)
+    best = min(usable, key=lambda view: _cost(view, demand, now))
+    places = best.target.places
+    waiting = standing.waiting_seconds(best.standing, places, now)
+    if waiting > patience(best.standing, demand):
+        return Refusal(outcomes.Reason.queue_full, _retry_in(waiting))
+    return best
+
+
+def patience(known: standing.Standing, demand: Demand) -> float:
+    """Returns how long a request may wait at a target.
+
+    A request that can still be answered in time waits only as long as that
+    holds: a longer queue would make those behind it late as well. One that
+    is late already gets what is left of its caller's time.
+    """
+    work = standing.typical_seconds(known)
+    in_time = demand.aim_left - work * 1.3
+    if in_time > 0:
+        return in_time
+    return max((demand.time_left - work) * WAITING_PART, 0.0)
+
+
+def is_cold(view: View, now: float) -> bool:
+    """Tells whether a target bears only a few requests a second."""
+    until = max(view.target.cold_until, view.standing.doubtful_until)
+    return until > now
+
+
+def _is_usable(view: View, demand: Demand, now: float) -> bool:
+    if view.target.is_draining or view.target.name in demand.tried:
+        return False
+    if standing.is_paused(view.standing, view.target.offset, now):
+        return False
+    if not is_cold(view, now):
+        return True
+    spacing = now - view.standing.cold_sent_at
+    return view.may_warm and spacing >= COLD_SPACING_SECONDS
+
+
+def _cost(view: View, demand: Demand, now: float) -> float:
+    factor = 1.0
+    if view.target.failure_domain != demand.failure_domain:
+        factor *= REMOTE_FACTOR
+    if is_cold(view, now):
+        factor *= COLD_FACTOR
+    return standing.cost(view.standing, view.target.places, now) * factor
+
+
+def _unusable(views: abc.Sequence[View], now: float) -> Refusal:
+    if not views:
+        return Refusal(outcomes.Reason.no_owner, MOST_RETRY_SECONDS)
+    if any(is_cold(view, now) for view in views):
+        return Refusal(outcomes.Reason.cold, LEAST_RETRY_SECONDS * 4)
+    return Refusal(
+        outcomes.Reason.target_unreachable, LEAST_RETRY_SECONDS * 4
+    )
+
+
+def _retry_in(seconds: float) -> float:
+    return min(max(seconds, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS)
--- a/src/bilberryglade/_targets/client.py
+++ b/src/bilberryglade/_targets/client.py
@@ -1,35 +1,25 @@
 """HTTP towards targets: one request, one attempt, one outcome."""
 
-import asyncio
 import time
 import typing
-from http import cookies
 
-import aiosonic
 from aiosonic import exceptions, timeout
 
 from bilberryglade._codec import codec
-from bilberryglade._targets import answers, connections
+from bilberryglade._targets import answers, connections, sender
 from bilberryglade._values import outcomes, requests
 from bilberryglade_schema import platform
 
-CONNECT_SECONDS: typing.Final = 0.5
+CONNECT_SECONDS: typing.Final = sender.CONNECT_SECONDS
 GRANT_SECONDS: typing.Final = 0.5
 HEALTH_SECONDS: typing.Final = 0.5
 OK_STATUS: typing.Final = 200
 DOWN_STATUS: typing.Final = 503
 #: Time after which every kept connection to a silent target was closed.
 SILENT_SECONDS: typing.Final = 2 * connections.IDLE_MS / 1000
-#: What the library raises when an exchange comes to no whole answer.
-BROKEN_EXCHANGE: typing.Final = (
-    exceptions.AiosonicError,
-    OSError,
-    EOFError,
-    ValueError,
-    TimeoutError,
-    asyncio.LimitOverrunError,
-    cookies.CookieError,
-)
+BROKEN_EXCHANGE: typing.Final = sender.BROKEN_EXCHANGE
+#: Callers of this client are not told late answers from lost ones.
+LOST: typing.Final = outcomes.Unknown(outcomes.Reason.answer_lost)
 HOP_HEADERS: typing.Final = answers.HOP_HEADERS
 
 
@@ -55,14 +45,9 @@
     def __init__(self, limits: Limits) -> None:
         """Opens connections as they are needed, within `limits`."""
         self.limits = limits
-        self.kept = connections.http_client(
-            connections.TargetConnection,
-            limits.connections,
-        )
-        self.fresh = connections.http_client(
-            connections.FreshConnection,
-            limits.connections,
-        )
+        self.sender = sender.Sender(limits.connections, limits.answer_bytes)
+        self.kept = self.sender.kept
+        self.fresh = self.sender.fresh
         #: Monotonic seconds until which kept connections are distrusted.
         self.silent_until: dict[str, float] = {}
 
@@ -85,10 +70,10 @@
         distrusted = self.silent_until.get(address, now) > now
         if distrusted or not request.repeatable:
             return await self._attempt(
-                self.fresh, address, request, grant, seconds
+                address, request, grant, seconds, on_fresh=True
             )
         outcome = await self._attempt(
-            self.kept, address, request, grant, seconds / 2
+            address, request, grant, seconds / 2, on_fresh=False
         )
         if isinstance(outcome, outcomes.Unknown):
             self.silent_until[address] = time.monotonic() + SILENT_SECONDS
@@ -140,70 +125,34 @@
 
     async def close(self) -> None:
         """Closes every connection."""
-        await self.kept.aclose()
-        await self.fresh.aclose()
+        await self.sender.close()
 
     async def _attempt(
         self,
-        http: aiosonic.HTTPClient,
         address: str,
         request: requests.RoutedRequest,
         grant: GrantHeaders,
         seconds: float,
+        *,
+        on_fresh: bool,
     ) -> outcomes.Outcome:
-        deadline = time.monotonic() + seconds
-        exchange = connections.Exchange()
-        connections.current.set(exchange)
-        try:
-            response = await http.request(
-                _url(address, request.path),
-                # The library drops the body of a request named `GET`.
-                request.method.lower(),
-                headers=_headers(request, grant, seconds),
-                data=request.body,
-                timeouts=_timeouts(seconds),
-                stream=True,
-            )
-            return await self._outcome(request.method, response, deadline)
-        except BROKEN_EXCHANGE:
-            if exchange.is_sent:
-                return outcomes.Unknown(outcomes.Reason.answer_lost)
-            return outcomes.NotRun(outcomes.Reason.target_unreachable)
-        finally:
-            connections.current.set(None)
-
-    async def _outcome(
-        self,
-        method: str,
-        response: aiosonic.HttpResponse,
-        deadline: float,
-    ) -> outcomes.Outcome:
-        """Returns the answer if it is whole and within bounds."""
-        if not answers.is_framed(method, response):
-            await response.aclose()
-            return outcomes.Unknown(outcomes.Reason.answer_lost)
-        async with asyncio.timeout(deadline - time.monotonic()):
-            body = await answers.read_body(response, self.limits.answer_bytes)
-        if body is None:
-            return outcomes.Unknown(outcomes.Reason.too_large)
-        headers = answers.headers_of(response)
-        if answers.says_not_started(headers):
+        call = sender.Call(
+            address=address,
+            method=request.method,
+            path=request.path,
+            headers=_headers(request, grant, seconds),
+            body=request.body,
+            seconds=seconds,
+        )
+        outcome = await self.sender.send(call, on_fresh=on_fresh)
+        if isinstance(outcome, outcomes.Unknown):
+            is_large = outcome.reason is outcomes.Reason.too_large
+            return outcome if is_large else LOST
+        if isinstance(outcome, outcomes.NotRun):
+            return outcome
+        if answers.says_not_started(outcome.headers):
             return outcomes.NotRun(outcomes.Reason.target_refused)
-        return outcomes.Answered(response.status_code, headers, body)
-
-
-def _timeouts(seconds: float) -> timeout.Timeouts:
-    return timeout.Timeouts(
-        sock_connect=min(CONNECT_SECONDS, seconds),
-        sock_read=seconds,
-        request_timeout=seconds,
-    )
-
-
-def _url(address: str, path: str) -> str:
-    """Returns the URL; the library would drop parameters after `;`."""
-    plain, mark, query = path.partition('?')
-    return f'http://{address}{plain.replace(";", "%3B")}{mark}{query}'
+        return outcome
 
 
 def _headers(
--- /dev/null
+++ b/src/bilberryglade/_targets/directory.py
@@ -0,0 +1,117 @@
+"""The targets that are listed in the store, as far as they are known here."""
+
+import typing
+
+import immutables
+
+#: Seconds after the store's return within which lapsed entries come back.
+RETURN_SECONDS: typing.Final = 2.0
+#: Age of what is known from which the store counts as having been away.
+GAP_SECONDS: typing.Final = 1.6
+
+
+class Target(typing.NamedTuple):
+    """One life of a target."""
+
+    name: str
+    #: Moment of its start by its own clock; another one is another life.
+    born: int
+    service: str
+    #: IP number and port.
+    address: str
+    failure_domain: str
+    #: Requests that it runs at the same time.
+    places: int
+    #: Whether it leaves; it gets no new work then.
+    is_draining: bool
+    #: Monotonic seconds until which it is cold; 0 if it is warm.
+    cold_until: float
+    #: Grows with each entry of one life.
+    sequence: int
+    #: Place of its entry in the store.
+    offset: int
+
+
+class Directory(typing.NamedTuple):
+    """All listed targets by name."""
+
+    targets: immutables.Map[str, Target] = immutables.Map()
+    #: Offset of the newest entry of each name, dropped ones included.
+    offsets: immutables.Map[str, int] = immutables.Map()
+    #: Names whose entries lapsed around an outage, and until when each is
+    #: still taken to live.
+    lapsed: immutables.Map[str, float] = immutables.Map()
+
+
+def put(known: Directory, target: Target) -> Directory:
+    """Takes in an entry; older ones of the same name change nothing."""
+    if target.offset <= known.offsets.get(target.name, -1):
+        return known
+    offsets = known.offsets.set(target.name, target.offset)
+    before = known.targets.get(target.name)
+    if before is not None and _is_stale(before, target):
+        return known._replace(offsets=offsets)
+    lapsed = known.lapsed
+    if target.name in lapsed:
+        lapsed = lapsed.delete(target.name)
+    return Directory(known.targets.set(target.name, target), offsets, lapsed)
+
+
+def drop(
+    known: Directory,
+    name: str,
+    offset: int,
+    keep_until: float = 0,
+) -> Directory:
+    """Takes in that an entry was dropped.
+
+    With `keep_until` (monotonic seconds) the target counts as alive till
+    then, since entries also lapse while the store is away.
+    """
+    if offset <= known.offsets.get(name, -1):
+        return known
+    offsets = known.offsets.set(name, offset)
+    target = known.targets.get(name)
+    if target is None:
+        return known._replace(offsets=offsets)
+    if keep_until and not target.is_draining:
+        lapsed = known.lapsed.set(name, keep_until)
+        return known._replace(offsets=offsets, lapsed=lapsed)
+    return _without(known._replace(offsets=offsets), name)
+
+
+def expire(known: Directory, now: float) -> Directory:
+    """Drops targets whose entries lapsed and did not come back in time."""
+    for name, until in known.lapsed.items():
+        if until <= now:
+            known = _without(known, name)
+    return known
+
+
+def retain(
+    known: Directory,
+    names: frozenset[str],
+    end: int,
+    keep_until: float = 0,
+) -> Directory:
+    """Drops every target that a whole reading up to `end` does not name."""
+    for name, target in known.targets.items():
+        if name not in names and target.offset < end:
+            known = drop(known, name, end - 1, keep_until)
+    return known
+
+
+def _is_stale(before: Target, target: Target) -> bool:
+    if target.born != before.born:
+        return target.born < before.born
+    return target.sequence < before.sequence
+
+
+def _without(known: Directory, name: str) -> Directory:
+    targets = known.targets
+    if name in targets:
+        targets = targets.delete(name)
+    lapsed = known.lapsed
+    if name in lapsed:
+        lapsed = lapsed.delete(name)
+    return known._replace(targets=targets, lapsed=lapsed)
--- /dev/null
+++ b/src/bilberryglade/_targets/sender.py
@@ -0,0 +1,127 @@
+"""One HTTP exchange with a target: sent once, answered whole, or classified."""
+
+import asyncio
+import time
+import typing
+from http import cookies
+
+import aiosonic
+from aiosonic import exceptions, timeout
+
+from bilberryglade._targets import answers, connections
+from bilberryglade._values import outcomes
+
+#: Seconds for a new connection; targets of the fleet are milliseconds away.
+CONNECT_SECONDS: typing.Final = 0.5
+#: What the library raises when an exchange comes to no whole answer.
+BROKEN_EXCHANGE: typing.Final = (
+    exceptions.AiosonicError,
+    OSError,
+    EOFError,
+    ValueError,
+    TimeoutError,
+    asyncio.LimitOverrunError,
+    cookies.CookieError,
+)
+
+
+class Call(typing.NamedTuple):
+    """An HTTP request as it goes out."""
+
+    #: IP number and port.
+    address: str
+    method: str
+    #: Path and query string.
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    #: Seconds until a whole answer must have arrived.
+    seconds: float
+
+
+class Sender:
+    """Sends calls over kept or fresh connections, each call once."""
+
+    def __init__(self, most_connections: int, most_answer_bytes: int) -> None:
+        """Opens connections as they are needed, `most_connections` a class."""
+        self.most_answer_bytes = most_answer_bytes
+        self.kept = connections.http_client(
+            connections.TargetConnection,
+            most_connections,
+        )
+        self.fresh = connections.http_client(
+            connections.FreshConnection,
+            most_connections,
+        )
+
+    async def send(
+        self,
+        call: Call,
+        *,
+        on_fresh: bool,
+    ) -> outcomes.Outcome:
+        """Sends `call` once; `NotRun` means that no byte of it went out."""
+        http = self.fresh if on_fresh else self.kept
+        deadline = time.monotonic() + call.seconds
+        exchange = connections.Exchange()
+        connections.current.set(exchange)
+        try:
+            response = await http.request(
+                _url(call.address, call.path),
+                # The library drops the body of a request named `GET`.
+                call.method.lower(),
+                headers=call.headers,
+                data=call.body,
+                timeouts=_timeouts(call.seconds),
+                stream=True,
+            )
+            return await self._outcome(call.method, response, deadline)
+        except BROKEN_EXCHANGE as failure:
+            if exchange.is_sent:
+                return outcomes.Unknown(_lost_reason(failure))
+            return outcomes.NotRun(outcomes.Reason.target_unreachable)
+        finally:
+            connections.current.set(None)
+
+    async def close(self) -> None:
+        """Closes every connection."""
+        await self.kept.aclose()
+        await self.fresh.aclose()
+
+    async def _outcome(
+        self,
+        method: str,
+        response: aiosonic.HttpResponse,
+        deadline: float,
+    ) -> outcomes.Outcome:
+        """Returns the answer if it is whole and within bounds."""
+        if not answers.is_framed(method, response):
+            await response.aclose()
+            return outcomes.Unknown(outcomes.Reason.answer_lost)
+        async with asyncio.timeout(deadline - time.monotonic()):
+            body = await answers.read_body(response, self.most_answer_bytes)
+        if body is None:
+            return outcomes.Unknown(outcomes.Reason.too_large)
+        headers = answers.headers_of(response)
+        return outcomes.Answered(response.status_code, headers, body)
+
+
+def _lost_reason(failure: BaseException) -> outcomes.Reason:
+    late = (TimeoutError, exceptions.BaseTimeout)
+    if isinstance(failure, late):
+        return outcomes.Reason.deadline
+    return outcomes.Reason.answer_lost
+
+
+def _timeouts(seconds: float) -> timeout.Timeouts:
+    return timeout.Timeouts(
+        sock_connect=min(CONNECT_SECONDS, seconds),
+        sock_read=seconds,
+        request_timeout=seconds,
+    )
+
+
+def _url(address: str, path: str) -> str:
+    """Returns the URL; the library would drop parameters after `;`."""
+    plain, mark, query = path.partition('?')
+    return f'http://{address}{plain.replace(";", "%3B")}{mark}{query}'
--- /dev/null
+++ b/src/bilberryglade/_targets/standing.py
@@ -0,0 +1,164 @@
+"""What one instance knows of a target from its own exchanges with it.
+
+Load reports lag, so a report counts for less the older it is; what the
+instance has under way itself is always exact.
+"""
+
+import math
+import typing
+
+#: Seconds after which a load report has lost most of its weight.
+REPORT_LIFE_SECONDS: typing.Final = 0.25
+#: Weight of a new observation in a moving average.
+NEW_WEIGHT: typing.Final = 0.15
+#: Seconds that an exchange with an unknown target is expected to take.
+UNKNOWN_SECONDS: typing.Final = 0.1
+#: First pause after a failed exchange, and the longest one.
+PAUSE_SECONDS: typing.Final = 0.3
+LONGEST_PAUSE_SECONDS: typing.Final = 2.0
+#: Seconds after a refused connection in which a target may come back cold.
+DOUBT_SECONDS: typing.Final = 3.0
+#: Share of failed answers that doubles the expected cost of a target.
+FAILURE_WEIGHT: typing.Final = 4.0
+
+
+class Report(typing.NamedTuple):
+    """How busy a target said it was, in an answer."""
+
+    running: int
+    waiting: int
+    #: How long work takes on its machine now, 1 as usual.
+    slowness: float = 1.0
+
+
+class Standing(typing.NamedTuple):
+    """The view of one life of a target; times are monotonic seconds."""
+
+    #: Own requests at the target now.
+    outstanding: int = 0
+    #: Requests of other instances there, by its last report.
+    others: float = 0
+    reported_at: float = 0
+    #: Moving average of `others`.
+    usual_others: float = 0
+    #: Moving average of exchanges that did not wait; 0 before the first.
+    seconds: float = 0
+    slowness: float = 1.0
+    #: Moving average: 1 for a failed answer, 0 for a good one.
+    failing: float = 0
+    #: Failed exchanges in a row.
+    losses: int = 0
+    #: No request is sent before this.
+    paused_until: float = 0
+    #: Offset of the entry that was known when an exchange was lost last.
+    lost_offset: int = -1
+    #: Until then the target may have started again, cold and unlisted.
+    doubtful_until: float = 0
+    #: When this instance last sent to the target while it was cold.
+    cold_sent_at: float = 0
+
+
+def sent(standing: Standing) -> Standing:
+    """Counts a request on its way."""
+    return standing._replace(outstanding=standing.outstanding + 1)
+
+
+def ended(standing: Standing) -> Standing:
+    """Counts a request that is not under way any more."""
+    return standing._replace(outstanding=max(standing.outstanding - 1, 0))
+
+
+def answered(
+    standing: Standing,
+    seconds: float,
+    report: Report | None,
+    is_good: bool,
+    now: float,
+) -> Standing:
+    """Takes in a whole answer that came after `seconds`."""
+    failing = _mixed(standing.failing, 0.0 if is_good else 1.0)
+    known = standing._replace(failing=failing, losses=0, paused_until=0)
+    if report is None:
+        return known._replace(seconds=_mixed_seconds(known, seconds))
+    others = max(report.running + report.waiting - known.outstanding + 1, 0)
+    if not report.waiting:
+        known = known._replace(seconds=_mixed_seconds(known, seconds))
+    return known._replace(
+        others=others,
+        reported_at=now,
+        usual_others=_mixed(known.usual_others, others),
+        slowness=report.slowness,
+    )
+
+
+def shed(standing: Standing, places: int, now: float) -> Standing:
+    """Takes in that a target had no room: it is full of others' requests."""
+    others = max(places * 3 - standing.outstanding, places)
+    return standing._replace(others=others, reported_at=now)
+
+
+def lost(standing: Standing, offset: int, now: float) -> Standing:
+    """Takes in a failed exchange; the pause doubles with each in a row."""
+    losses = standing.losses + 1
+    pause = min(PAUSE_SECONDS * 2 ** (losses - 1), LONGEST_PAUSE_SECONDS)
+    return standing._replace(
+        losses=losses,
+        paused_until=now + pause,
+        failing=_mixed(standing.failing, 1.0),
+        lost_offset=offset,
+    )
+
+
+def unreachable(standing: Standing, offset: int, now: float) -> Standing:
+    """Takes in that a target took no connection: it may have ended."""
+    paused = lost(standing, offset, now)
+    return paused._replace(doubtful_until=now + DOUBT_SECONDS)
+
+
+def is_paused(standing: Standing, offset: int, now: float) -> bool:
+    """Tells whether the target gets nothing after a failed exchange.
+
+    A newer entry of the target ends the pause of a single loss.
+    """
+    if standing.paused_until <= now:
+        return False
+    return standing.losses > 1 or offset <= standing.lost_offset
+
+
+def load(standing: Standing, now: float) -> float:
+    """Returns the requests expected at the target now."""
+    age = max(now - standing.reported_at, 0)
+    trust = math.exp(-age / REPORT_LIFE_SECONDS)
+    others = standing.others * trust + standing.usual_others * (1 - trust)
+    return standing.outstanding + others
+
+
+def typical_seconds(standing: Standing) -> float:
+    """Returns how long work takes that does not wait."""
+    return standing.seconds or UNKNOWN_SECONDS
+
+
+def waiting_seconds(standing: Standing, places: int, now: float) -> float:
+    """Returns how long one more request is expected to wait."""
+    ahead = load(standing, now) - places + 1
+    if ahead <= 0:
+        return 0
+    return ahead / places * typical_seconds(standing)
+
+
+def cost(standing: Standing, places: int, now: float) -> float:
+    """Returns the time that one more request is expected to take in all."""
+    busy = load(standing, now) / places
+    usual = typical_seconds(standing) * (1 + busy * 0.3)
+    penalty = 1 + FAILURE_WEIGHT * standing.failing
+    return (usual + waiting_seconds(standing, places, now)) * penalty
+
+
+def _mixed(before: float, new: float) -> float:
+    return before + (new - before) * NEW_WEIGHT
+
+
+def _mixed_seconds(standing: Standing, seconds: float) -> float:
+    if not standing.seconds:
+        return seconds
+    return _mixed(standing.seconds, seconds)
--- a/src/bilberryglade/_values/outcomes.py
+++ b/src/bilberryglade/_values/outcomes.py
@@ -38,6 +38,12 @@
     quarantined = 'quarantined'
     stopping = 'stopping'
     too_large = 'too_large'
+    no_knowledge = 'no_knowledge'
+    cold = 'cold'
+    not_owner = 'not_owner'
+    keys_moving = 'keys_moving'
+    retry_budget = 'retry_budget'
+    caller_gone = 'caller_gone'
 
 
 class Answered(typing.NamedTuple):
--- /dev/null
+++ b/src/bilberryglade/_values/site.py
@@ -0,0 +1,39 @@
+"""Where an instance runs, and the bounds that its users hold it to."""
+
+import typing
+
+
+class Bounds(typing.NamedTuple):
+    """Promises to the users; times are in seconds."""
+
+    #: A configuration is in force so long after it was accepted.
+    config_apply: float
+    #: A leaving target gets no new work so long after it said so.
+    drain: float
+    #: A planned stop may take so long before the process is killed.
+    grace: float
+    #: Longest lease that a target accepts.
+    longest_lease: float
+    #: Repeats of a service's requests over `retry_window`, as a share of
+    #: its requests, and in number beyond that share.
+    retry_ratio: float
+    retry_slack: float
+    retry_window: float
+    #: Requests a second of a cold target: factor of its rate, and addition.
+    cold_factor: float
+    cold_slack: float
+
+
+class Site(typing.NamedTuple):
+    """The place of one instance; addresses are IP numbers with ports."""
+
+    instance: str
+    failure_domain: str
+    ip: str
+    callers_address: str
+    readiness_address: str
+    peer_address: str
+    store_address: str
+    #: Seconds between two signs of life of a target.
+    target_beat: float
+    bounds: Bounds
--- /dev/null
+++ b/src/bilberryglade/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls; nothing here decides."""
--- /dev/null
+++ b/src/bilberryglade/platform/exchange.py
@@ -0,0 +1,111 @@
+"""One request to a target as the platform's protocol has it."""
+
+import typing
+
+from bilberryglade._delivery import sends
+from bilberryglade._routing import admission
+from bilberryglade._targets import directory, sender, standing
+from bilberryglade._values import outcomes
+from bilberryglade.platform import headers
+
+#: Seconds by which a target is to stop before its answer is given up.
+MARGIN_SECONDS: typing.Final = 0.03
+MISDIRECTED_STATUS: typing.Final = 421
+FULL_STATUS: typing.Final = 503
+OK_STATUSES: typing.Final = range(200, 300)
+PERCENT: typing.Final = 100
+
+
+class TargetExchange:
+    """Sends requests to targets and reads their answers."""
+
+    def __init__(self, http: sender.Sender) -> None:
+        """Sends through `http`."""
+        self.http = http
+
+    async def __call__(
+        self,
+        request: admission.Incoming,
+        admitted: admission.Admitted,
+        target: directory.Target,
+        seconds: float,
+    ) -> sends.Sent:
+        """Sends a request once; see `sends.Exchange`."""
+        call = sender.Call(
+            address=target.address,
+            method=request.method,
+            path=_path(request),
+            headers=_headers(request, admitted, target, seconds),
+            body=request.body,
+            seconds=seconds,
+        )
+        outcome = await self.http.send(call, on_fresh=False)
+        if not isinstance(outcome, outcomes.Answered):
+            return sends.Sent(outcome)
+        return understood(request.request_id, outcome)
+
+
+def understood(request_id: str, answer: outcomes.Answered) -> sends.Sent:
+    """Returns what a target's answer means.
+
+    An answer with another request's id, a success without the target's mark
+    or with an encoded body is none; whether the request ran is unknown then.
+    """
+    report = report_of(headers.find(answer.headers, headers.LOAD))
+    if answer.status == MISDIRECTED_STATUS:
+        refused = outcomes.NotRun(outcomes.Reason.not_owner)
+        return sends.Sent(refused, report, is_misdirected=True)
+    if headers.find(answer.headers, headers.NOT_RUN):
+        refused = outcomes.NotRun(outcomes.Reason.target_refused)
+        is_shed = answer.status == FULL_STATUS
+        return sends.Sent(refused, report, is_shed=is_shed)
+    echoed = headers.all_of(answer.headers, headers.REQUEST_ID)
+    is_marked = bool(headers.find(answer.headers, headers.SIGNATURE))
+    is_encoded = bool(headers.find(answer.headers, headers.CONTENT_ENCODING))
+    if echoed != (request_id,) or not is_marked or is_encoded:
+        return sends.Sent(
+            outcomes.Unknown(outcomes.Reason.answer_lost), report
+        )
+    return sends.Sent(answer, report)
+
+
+def report_of(text: str) -> standing.Report | None:
+    """Returns a target's word on its load, or None if it gave none."""
+    parts = text.split(',')
+    try:
+        numbers = [int(float(part)) for part in parts]
+    except ValueError:
+        return None
+    if len(numbers) < 3:
+        return None
+    slowness = numbers[3] / PERCENT if len(numbers) > 3 else 1.0
+    return standing.Report(numbers[0], numbers[1], slowness)
+
+
+def _path(request: admission.Incoming) -> str:
+    return f'{request.path}?{request.query}' if request.query else request.path
+
+
+def _headers(
+    request: admission.Incoming,
+    admitted: admission.Admitted,
+    target: directory.Target,
+    seconds: float,
+) -> dict[str, str]:
+    named: dict[str, str] = {}
+    for header in request.headers:
+        known = named.get(header.name)
+        separator = '; ' if header.name == 'cookie' else ', '
+        named[header.name] = (
+            header.text if known is None else f'{known}{separator}{header.text}'
+        )
+    left = max(int((seconds - MARGIN_SECONDS) * 1000), 1)
+    named['host'] = request.host_header
+    named[headers.REQUEST_ID] = request.request_id
+    named[headers.DEADLINE] = str(left)
+    named[headers.EXPECTED_TARGET] = target.name
+    if request.routing_key is not None:
+        named[headers.ROUTING_KEY] = str(request.routing_key)
+    if admitted.organisation is not None:
+        named[headers.ORGANISATION] = admitted.organisation.name
+    return named
--- /dev/null
+++ b/src/bilberryglade/platform/folds.py
@@ -0,0 +1,120 @@
+"""Folds of the store's topics: operators' records and targets' entries."""
+
+import typing
+
+import loguru
+import result
+
+from bilberryglade._knowledge import knowledge, topics
+from bilberryglade._targets import directory
+from bilberryglade._values import stored
+from bilberryglade.platform import catalogues, entries
+
+CONFIGURATION_KEY: typing.Final = 'config'
+TAKEN_OUT_PREFIX: typing.Final = 'evacuate/'
+
+
+@topics.folds.register(topics.OPERATOR)
+def fold_operator(
+    known: knowledge.Knowledge,
+    reading: topics.Reading,
+) -> knowledge.Knowledge:
+    """Takes in configurations, and failure domains taken out or restored."""
+    for record in reading.batch.records:
+        if record.key == CONFIGURATION_KEY:
+            known = _with_configuration(known, record)
+        elif record.key.startswith(TAKEN_OUT_PREFIX):
+            known = _with_domain(known, record, reading.read_at)
+    if reading.batch.is_whole:
+        known = _without_unnamed(known, reading)
+    return known
+
+
+@topics.folds.register(topics.TARGETS)
+def fold_targets(
+    known: knowledge.Knowledge,
+    reading: topics.Reading,
+) -> knowledge.Knowledge:
+    """Takes in targets' entries; what names no target is left out."""
+    listed = known.directory
+    keep_until = 0.0
+    if reading.gap > directory.GAP_SECONDS:
+        keep_until = reading.read_at + directory.RETURN_SECONDS
+    for record in reading.batch.records:
+        if record.payload is None:
+            listed = directory.drop(
+                listed, record.key, record.offset, keep_until
+            )
+            continue
+        decoded = entries.decode(record, reading.read_at)
+        if isinstance(decoded, result.Err):
+            loguru.logger.warning(
+                'entry {} at offset {} names no target: {}',
+                record.key,
+                record.offset,
+                decoded.err_value,
+            )
+            continue
+        listed = directory.put(listed, decoded.ok_value)
+    if reading.batch.is_whole:
+        names = frozenset(record.key for record in reading.batch.records)
+        listed = directory.retain(
+            listed, names, reading.batch.end, keep_until
+        )
+    return known._replace(directory=listed)
+
+
+def _with_configuration(
+    known: knowledge.Knowledge,
+    record: stored.Record,
+) -> knowledge.Knowledge:
+    if record.payload is None or record.offset <= known.catalogue_offset:
+        return known
+    decoded = catalogues.decode(record.payload)
+    if isinstance(decoded, result.Err):
+        loguru.logger.warning(
+            'configuration at offset {} left out: {}',
+            record.offset,
+            decoded.err_value,
+        )
+        return known._replace(catalogue_offset=record.offset)
+    loguru.logger.info(
+        'configuration {} in force, offset {}',
+        decoded.ok_value.version,
+        record.offset,
+    )
+    return known._replace(
+        catalogue=decoded.ok_value,
+        catalogue_offset=record.offset,
+    )
+
+
+def _with_domain(
+    known: knowledge.Knowledge,
+    record: stored.Record,
+    read_at: float,
+) -> knowledge.Knowledge:
+    name = record.key.removeprefix(TAKEN_OUT_PREFIX)
+    before = known.domains.get(name)
+    if before is not None and before.offset >= record.offset:
+        return known
+    is_out = record.payload is not None
+    loguru.logger.info(
+        'failure domain {} {}', name, 'taken out' if is_out else 'in service'
+    )
+    domain = knowledge.Domain(record.offset, is_out, read_at)
+    return known._replace(domains=known.domains.set(name, domain))
+
+
+def _without_unnamed(
+    known: knowledge.Knowledge,
+    reading: topics.Reading,
+) -> knowledge.Knowledge:
+    """Returns to service what a whole reading does not name any more."""
+    named = {record.key for record in reading.batch.records}
+    for name, domain in known.domains.items():
+        key = f'{TAKEN_OUT_PREFIX}{name}'
+        if domain.is_out and key not in named:
+            dropped = stored.Record(key, reading.batch.end - 1, payload=None)
+            known = _with_domain(known, dropped, reading.read_at)
+    return known
--- /dev/null
+++ b/src/bilberryglade/platform/front.py
@@ -0,0 +1,244 @@
+"""Callers over the platform's HTTP: requests in, answers and refusals out."""
+
+import asyncio
+import contextlib
+import typing
+from collections import abc
+
+from starlette import applications, requests, responses, routing
+
+from bilberryglade._delivery import router
+from bilberryglade._routing import admission, catalogue
+from bilberryglade._values import clock, outcomes
+from bilberryglade.platform import headers
+
+METHODS: typing.Final = (
+    'GET',
+    'HEAD',
+    'POST',
+    'PUT',
+    'PATCH',
+    'DELETE',
+    'OPTIONS',
+)
+#: Headers that concern one connection, or that the router sets itself.
+NOT_FORWARDED: typing.Final = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        headers.API_KEY,
+        headers.DEADLINE,
+        headers.EXPECTED_TARGET,
+        headers.ORGANISATION,
+        headers.REQUEST_ID,
+        headers.ROUTING_KEY,
+    ),
+)
+#: Statuses of refusals; every other reason is 503, which promises that the
+#: request has not run.
+REFUSALS: typing.Final = {  # noqa: WPS407
+    outcomes.Reason.bad_request: 400,
+    outcomes.Reason.no_credentials: 401,
+    outcomes.Reason.no_route: 404,
+    outcomes.Reason.too_large: 413,
+    outcomes.Reason.over_rate: 429,
+}
+NOT_RUN_STATUS: typing.Final = 503
+LOST_STATUS: typing.Final = 502
+LATE_STATUS: typing.Final = 504
+GONE_STATUS: typing.Final = 499
+LAST_KEY: typing.Final = 65_535
+
+Observe: typing.TypeAlias = abc.Callable[
+    [admission.Incoming, router.Delivered, int, float],
+    None,
+]
+
+
+class Front:
+    """Serves callers."""
+
+    def __init__(
+        self,
+        routing_core: router.Router,
+        observe: Observe,
+        is_known: abc.Callable[[], catalogue.CallerBounds],
+    ) -> None:
+        """`is_known` returns the bounds in force on what callers send."""
+        self.router = routing_core
+        self.observe = observe
+        self.bounds = is_known
+
+    async def serve(self, request: requests.Request) -> responses.Response:
+        """Answers one request."""
+        arrived_at = clock.now()
+        body = await _body(request, self.bounds().body_bytes)
+        if body is None:
+            return responses.Response(status_code=413)
+        incoming = incoming_of(request, body, arrived_at)
+        if incoming is None:
+            return responses.Response(status_code=400)
+        delivered = await self._run(request, incoming)
+        if delivered is None:
+            gone = router.Delivered(
+                outcomes.Unknown(outcomes.Reason.caller_gone)
+            )
+            self._observe(incoming, gone, GONE_STATUS)
+            return responses.Response(status_code=GONE_STATUS)
+        response = response_of(incoming, delivered)
+        self._observe(incoming, delivered, response.status_code)
+        return response
+
+    async def _run(
+        self,
+        request: requests.Request,
+        incoming: admission.Incoming,
+    ) -> router.Delivered | None:
+        """Runs a request; None if its caller left before it was sent.
+
+        A request that may run once and is at a target goes on without its
+        caller: nobody can tell any more whether it has run.
+        """
+        work = asyncio.create_task(self.router.serve(incoming))
+        leaving = asyncio.create_task(_wait_for_leaving(request))
+        try:
+            await asyncio.wait(
+                (work, leaving), return_when=asyncio.FIRST_COMPLETED
+            )
+            sent = self.router.sending.is_under_way(incoming.request_id)
+            if not work.done() and not sent:
+                work.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await work
+                return None
+            return await work
+        finally:
+            leaving.cancel()
+            work.cancel()
+
+    def _observe(
+        self,
+        incoming: admission.Incoming,
+        delivered: router.Delivered,
+        status: int,
+    ) -> None:
+        seconds = clock.now() - incoming.arrived_at
+        self.observe(incoming, delivered, status, seconds)
+
+
+def application(front: Front) -> applications.Starlette:
+    """Returns the HTTP application for callers."""
+    route = routing.Route('/{path:path}', front.serve, methods=list(METHODS))
+    return applications.Starlette(routes=[route])
+
+
+def incoming_of(
+    request: requests.Request,
+    body: bytes,
+    arrived_at: float,
+) -> admission.Incoming | None:
+    """Returns a caller's request, or None if it is malformed."""
+    raw = tuple(
+        outcomes.Header(name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in request.headers.raw
+    )
+    hosts = headers.all_of(raw, 'host')
+    if len(hosts) != 1:
+        return None
+    raw_path: bytes = request.scope['raw_path']
+    query: bytes = request.scope['query_string']
+    try:
+        routing_key = _routing_key(headers.find(raw, headers.ROUTING_KEY))
+        patience = _patience(headers.find(raw, headers.DEADLINE))
+    except ValueError:
+        return None
+    return admission.Incoming(
+        request_id=headers.find(raw, headers.REQUEST_ID),
+        host=hosts[0].partition(':')[0].lower(),
+        host_header=hosts[0],
+        method=request.method,
+        path=raw_path.decode('latin-1').partition('?')[0],
+        query=query.decode('latin-1'),
+        headers=tuple(
+            header for header in raw if header.name not in NOT_FORWARDED
+        ),
+        body=body,
+        api_key=headers.find(raw, headers.API_KEY),
+        routing_key=routing_key,
+        patience=patience,
+        arrived_at=arrived_at,
+    )
+
+
+def response_of(
+    incoming: admission.Incoming,
+    delivered: router.Delivered,
+) -> responses.Response:
+    """Returns the answer to a caller."""
+    outcome = delivered.outcome
+    if isinstance(outcome, outcomes.Answered):
+        response = responses.Response(outcome.body, outcome.status)
+        response.raw_headers = [
+            (header.name.encode('latin-1'), header.text.encode('latin-1'))
+            for header in outcome.headers
+        ]
+        response.headers['content-length'] = str(len(outcome.body))
+        return response
+    if isinstance(outcome, outcomes.NotRun):
+        status = REFUSALS.get(outcome.reason, NOT_RUN_STATUS)
+    elif outcome.reason is outcomes.Reason.deadline:
+        status = LATE_STATUS
+    else:
+        status = LOST_STATUS
+    response = responses.Response(
+        f'{outcome.reason}\n', status, media_type='text/plain'
+    )
+    if incoming.request_id:
+        response.headers[headers.REQUEST_ID] = incoming.request_id
+    if delivered.retry_after_ms:
+        seconds = delivered.retry_after_ms / 1000
+        response.headers[headers.RETRY_AFTER] = f'{seconds:.3f}'
+    return response
+
+
+async def _body(request: requests.Request, most_bytes: int) -> bytes | None:
+    parts: list[bytes] = []
+    size = 0
+    async for part in request.stream():
+        size += len(part)
+        if size > most_bytes:
+            return None
+        parts.append(part)
+    return b''.join(parts)
+
+
+async def _wait_for_leaving(request: requests.Request) -> None:
+    while True:
+        message = await request.receive()
+        if message['type'] == 'http.disconnect':
+            return
+
+
+def _routing_key(text: str) -> int | None:
+    if not text:
+        return None
+    key = int(text)
+    if not 0 <= key <= LAST_KEY:
+        raise ValueError(f'routing key {key}')
+    return key
+
+
+def _patience(text: str) -> float | None:
+    if not text:
+        return None
+    return max(float(text), 0) / 1000
--- /dev/null
+++ b/src/bilberryglade/platform/orders.py
@@ -0,0 +1,84 @@
+"""Orders to targets: leases on ranges of keys, given and taken back."""
+
+import typing
+
+import result
+
+from bilberryglade._codec import codec
+from bilberryglade._targets import sender
+from bilberryglade._values import leases, outcomes
+from bilberryglade.platform import durations, headers
+
+#: Seconds for the answer to a grant, which targets give at once.
+GRANT_SECONDS: typing.Final = 0.7
+OK_STATUS: typing.Final = 200
+CONFLICT_STATUS: typing.Final = 409
+JSON_BODY: typing.Final = {'content-type': 'application/json'}  # noqa: WPS407
+
+
+class Orders:
+    """Gives orders to targets."""
+
+    def __init__(self, http: sender.Sender) -> None:
+        """Sends through `http`."""
+        self.http = http
+
+    async def grant(
+        self,
+        address: str,
+        lease: leases.Lease,
+    ) -> result.Result[None, leases.Failure]:
+        """Grants a lease, or renews it; its time runs from its arrival."""
+        order: dict[str, object] = {
+            'from': lease.first,
+            'to': lease.last,
+            'fence': lease.fence,
+            'hold_time': durations.text_of(lease.seconds),
+        }
+        if lease.handover:
+            order['handover'] = lease.handover
+        answer = await self._order(address, 'grant', order, GRANT_SECONDS)
+        return answer.map(lambda _: None)
+
+    async def release(
+        self,
+        address: str,
+        lease: leases.Lease,
+        seconds: float,
+    ) -> result.Result[str, leases.Failure]:
+        """Takes keys back; returns the handover when their work has ended."""
+        order: dict[str, object] = {
+            'from': lease.first,
+            'to': lease.last,
+            'fence': lease.fence,
+        }
+        answer = await self._order(address, 'release', order, seconds)
+        return answer.map(
+            lambda answered: headers.find(answered.headers, headers.HANDOVER),
+        )
+
+    async def _order(
+        self,
+        address: str,
+        name: str,
+        order: dict[str, object],
+        seconds: float,
+    ) -> result.Result[outcomes.Answered, leases.Failure]:
+        call = sender.Call(
+            address=address,
+            method='POST',
+            path=f'/bilberryglade/{name}',
+            headers=dict(JSON_BODY),
+            body=codec.encode_json(order),
+            seconds=seconds,
+        )
+        outcome = await self.http.send(call, on_fresh=False)
+        if isinstance(outcome, outcomes.NotRun):
+            return result.Err(leases.Failure.unreachable)
+        if isinstance(outcome, outcomes.Unknown):
+            return result.Err(leases.Failure.unclear)
+        if outcome.status == OK_STATUS:
+            return result.Ok(outcome)
+        if outcome.status == CONFLICT_STATUS:
+            return result.Err(leases.Failure.fenced)
+        return result.Err(leases.Failure.rejected)
--- /dev/null
+++ b/src/bilberryglade/platform/store.py
@@ -0,0 +1,187 @@
+"""The one client of the platform's store."""
+
+import base64
+import binascii
+import typing
+from urllib import parse as urls
+
+import result
+
+from bilberryglade._codec import codec
+from bilberryglade._targets import sender
+from bilberryglade._values import outcomes, stored
+from bilberryglade.platform import records
+from bilberryglade_schema import provider
+
+#: Seconds for a call; some 200 times the usual answer of the store.
+CALL_SECONDS: typing.Final = 0.9
+#: Seconds beyond the wait of a long poll.
+POLL_MARGIN_SECONDS: typing.Final = 0.9
+OK_STATUS: typing.Final = 200
+FAILURES: typing.Final = {  # noqa: WPS407
+    409: stored.Failure.conflict,
+    410: stored.Failure.expired,
+    412: stored.Failure.conflict,
+    429: stored.Failure.refused,
+    503: stored.Failure.refused,
+    507: stored.Failure.refused,
+}
+
+Answer: typing.TypeAlias = result.Result[bytes, stored.Failure]
+Batch: typing.TypeAlias = result.Result[stored.Batch, stored.Failure]
+
+
+class StoreClient:
+    """Appends to and reads from keyed topics of one partition."""
+
+    def __init__(self, address: str, http: sender.Sender) -> None:
+        """Talks to the store at `address` through `http`."""
+        self.address = address
+        self.http = http
+        self.calls = 0
+
+    async def append(
+        self,
+        topic: str,
+        key: str,
+        payload: bytes,
+        condition: stored.Condition = stored.ALWAYS,
+    ) -> result.Result[int, stored.Failure]:
+        """Appends one record and returns its offset.
+
+        `unclear` leaves open whether it was, or will be, carried out.
+        """
+        query: dict[str, str | int] = {'topic': topic, 'part': 0}
+        if condition.end is not None:
+            query['at'] = condition.end
+        if condition.writer:
+            query['producer'] = condition.writer
+            query['epoch'] = condition.epoch
+            query['seq'] = condition.sequence
+        body = records.frame(records.keyed(key, payload))
+        answer = await self._call('POST', 'log-append', query, body)
+        if isinstance(answer, result.Err):
+            return answer
+        decoded = codec.decode_json(answer.ok_value, provider.AppendAnswer)
+        if isinstance(decoded, result.Err):
+            return result.Err(stored.Failure.unclear)
+        return result.Ok(decoded.ok_value['offset'])
+
+    async def fence(
+        self,
+        topic: str,
+        writer: str,
+        epoch: int,
+    ) -> result.Result[int, stored.Failure]:
+        """Fences off lower epochs of a writer; returns the topic's end."""
+        query: dict[str, str | int] = {
+            'topic': topic,
+            'part': 0,
+            'producer': writer,
+            'epoch': epoch,
+            'seq': 0,
+        }
+        answer = await self._call('POST', 'log-append', query, b'')
+        if isinstance(answer, result.Err):
+            return answer
+        decoded = codec.decode_json(answer.ok_value, provider.AppendAnswer)
+        if isinstance(decoded, result.Err):
+            return result.Err(stored.Failure.unclear)
+        return result.Ok(decoded.ok_value['end'])
+
+    async def read(self, topic: str, start: int, wait_ms: int) -> Batch:
+        """Returns the records from `start`, as soon as there is one."""
+        query: dict[str, str | int] = {
+            'topic': topic,
+            'part': 0,
+            'from': start,
+            'wait_ms': wait_ms,
+        }
+        seconds = CALL_SECONDS
+        if wait_ms:
+            seconds = wait_ms / 1000 + POLL_MARGIN_SECONDS
+        answer = await self._call('GET', 'log-read', query, b'', seconds)
+        if isinstance(answer, result.Err):
+            return answer
+        try:
+            found = records.parse_read(answer.ok_value)
+        except ValueError:
+            return result.Err(stored.Failure.unreadable)
+        parsed = (
+            records.parse_keyed(raw, start + place)
+            for place, raw in enumerate(found.records)
+        )
+        kept = tuple(record for record in parsed if record is not None)
+        return result.Ok(
+            stored.Batch(kept, start + len(found.records), is_whole=False),
+        )
+
+    async def newest(self, topic: str) -> Batch:
+        """Returns the newest record of every key of a topic."""
+        found: list[stored.Record] = []
+        after = ''
+        end: int | None = None
+        while True:
+            page = await self._page(topic, after)
+            if isinstance(page, result.Err):
+                return page
+            # Pages are no snapshot: what came after the first is read again.
+            end = page.ok_value['end'] if end is None else end
+            try:
+                found.extend(map(_record_of, page.ok_value['items']))
+            except (binascii.Error, ValueError):
+                return result.Err(stored.Failure.unreadable)
+            if not page.ok_value['has_more'] or not page.ok_value['items']:
+                return result.Ok(
+                    stored.Batch(tuple(found), end, is_whole=True),
+                )
+            after = page.ok_value['items'][-1]['key']
+
+    async def _page(
+        self,
+        topic: str,
+        after: str,
+    ) -> result.Result[provider.NewestAnswer, stored.Failure]:
+        query: dict[str, str | int] = {'topic': topic, 'part': 0}
+        if after:
+            query['after'] = after
+        answer = await self._call('GET', 'log-newest', query, b'')
+        if isinstance(answer, result.Err):
+            return answer
+        return codec.decode_json(
+            answer.ok_value,
+            provider.NewestAnswer,
+        ).map_err(lambda _: stored.Failure.unreadable)
+
+    async def _call(
+        self,
+        method: str,
+        name: str,
+        query: dict[str, str | int],
+        body: bytes,
+        seconds: float = CALL_SECONDS,
+    ) -> Answer:
+        self.calls += 1
+        call = sender.Call(
+            address=self.address,
+            method=method,
+            path=f'/bilberryglade/{name}?{urls.urlencode(query)}',
+            headers={'content-type': 'application/octet-stream'},
+            body=body,
+            seconds=seconds,
+        )
+        outcome = await self.http.send(call, on_fresh=False)
+        if isinstance(outcome, outcomes.NotRun):
+            return result.Err(stored.Failure.refused)
+        if isinstance(outcome, outcomes.Unknown):
+            return result.Err(stored.Failure.unclear)
+        if outcome.status == OK_STATUS:
+            return result.Ok(outcome.body)
+        return result.Err(
+            FAILURES.get(outcome.status, stored.Failure.unclear),
+        )
+
+
+def _record_of(entry: provider.NewestItem) -> stored.Record:
+    payload = base64.b64decode(entry['value'], validate=True)
+    return stored.Record(entry['key'], entry['offset'], payload or None)
--- a/src/bilberryglade_schema/peer.py
+++ b/src/bilberryglade_schema/peer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, TypeAlias
+from typing import Any, Literal, NotRequired, TypeAlias
 
 from typing_extensions import TypedDict
 
@@ -95,7 +95,7 @@
     """
 
     kind: str
-    version: int
+    version: NotRequired[int]
 
 
 class ForwardAccepted(TypedDict):
