Quota: an even part at each instance, a pool of tokens at the coordinator

With a pool from which tokens are asked for, the only refusals by rate left are those of the organisation above its limit (1820).

--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -93,7 +93,7 @@
         )
         wait = None
         if admitted.organisation is not None:
-            wait = self.quotas.admit(admitted.organisation)
+            wait = await self.quotas.admit(admitted.organisation)
         if wait is not None:
             return self._refused(request, delivered, wait)
         job = self._job(request, admitted)
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -17,10 +17,10 @@
     reading,
     topics,
 )
-from bilberryglade._limits import desks, reporting
+from bilberryglade._limits import desks, pools
 from bilberryglade._membership import candidacy, enrolment, fleet
 from bilberryglade._observability import exchange_counts
-from bilberryglade._ownership import steward
+from bilberryglade._ownership import key_loads, steward
 from bilberryglade._peers import network
 from bilberryglade._routing import catalogue
 from bilberryglade._targets import sender
@@ -35,6 +35,8 @@
 STORE_ANSWER_BYTES: typing.Final = 16_777_216
 #: Longest answer of a target that is taken in.
 ANSWER_BYTES: typing.Final = 16_777_216
+#: Targets of the platform close idle connections after 10 s.
+TARGET_IDLE_MS: typing.Final = 7000
 PEER_QUEUE: typing.Final = 2000
 METRICS_PORT: typing.Final = 9464
 LEAD_SECONDS: typing.Final = 0.5
@@ -76,7 +78,9 @@
             self.fleet, client, self.candidacy
         )
         self.reader = reading.Reader(self.fleet, client, self.candidacy)
-        self.targets = sender.Sender(TARGET_CONNECTIONS, ANSWER_BYTES)
+        self.targets = sender.Sender(
+            TARGET_CONNECTIONS, ANSWER_BYTES, TARGET_IDLE_MS
+        )
         self.steward = steward.Steward(
             self.fleet,
             self.candidacy,
@@ -88,18 +92,19 @@
         self._wire_requests()
 
     def _wire_requests(self) -> None:
-        self.desks = desks.Desks(self.instances)
-        self.reporting = reporting.Reporting(
-            self.fleet, self.candidacy, self.desks
+        self.pools = pools.Pools(
+            self.fleet, self.candidacy, self.organisations
+        )
+        self.desks = desks.Desks(
+            self.fleet, self.candidacy, self.instances, self.pools.answer
         )
-        self.dividing = reporting.Dividing(
-            self.fleet, self.candidacy, self.organisations, self.instances
+        self.load_sum = key_loads.LoadSum()
+        self.reporter = key_loads.Reporter(
+            self.fleet, self.candidacy, self.load_sum.take
         )
-        self.reporting.take_own = self.dividing.take
-        self.dividing.own_answers = self.reporting.take
-        self.candidacy.on_start.append(self.dividing.begin)
+        self.candidacy.on_start.append(self.pools.begin)
         self.candidacy.on_start.append(self.lead)
-        self.steward.loads = self.dividing.loads
+        self.steward.loads = self.load_sum.loads
         self.sends = sends.Sends(
             self.reader,
             self.fleet,
@@ -114,7 +119,7 @@
             self.sends,
             self.instances,
         )
-        self.router.count_key = self.reporting.count
+        self.router.count_key = self.reporter.count
         self.exchanges = exchange_counts.Exchanges(self.reader, self.steward)
         self.front = front.Front(
             self.router, self.exchanges.take, self.caller_bounds
@@ -207,7 +212,7 @@
             parts.reader.follow_operator(),
             parts.reader.follow_targets(),
             parts.steward.keep(),
-            parts.reporting.keep(),
+            parts.reporter.keep(),
             self._lead(),
             self._keep_house(),
             self._receive(),
--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -37,16 +37,26 @@
 
 @handlers.handler_for('report', fleet.Report)
 def handle_report(parts: 'entry.Parts', message: fleet.Report) -> None:
-    """Takes in what an instance needs, and answers with its shares."""
+    """Takes in the load that an instance counted."""
     parts.fleet.hear(message['sender'])
-    parts.dividing.take(message)
+    parts.load_sum.take(message)
 
 
-@handlers.handler_for('shares', fleet.Shares)
-def handle_shares(parts: 'entry.Parts', message: fleet.Shares) -> None:
-    """Takes in the shares of this instance."""
+@handlers.handler_for('quota_ask', fleet.QuotaAsk)
+def handle_quota_ask(parts: 'entry.Parts', message: fleet.QuotaAsk) -> None:
+    """Answers an instance that needs tokens of a pool."""
     parts.fleet.hear(message['sender'])
-    parts.reporting.take(message)
+    parts.fleet.send(message['sender'], parts.pools.answer(message))
+
+
+@handlers.handler_for('quota_grant', fleet.QuotaGrant)
+def handle_quota_grant(
+    parts: 'entry.Parts',
+    message: fleet.QuotaGrant,
+) -> None:
+    """Takes in tokens of a pool."""
+    parts.fleet.hear(message['sender'])
+    parts.desks.take(message)
 
 
 @handlers.handler_for('relay', fleet.Relay)
--- a/src/bilberryglade/_limits/desks.py
+++ b/src/bilberryglade/_limits/desks.py
@@ -1,98 +1,168 @@
-"""Admission of organisations' requests at one instance, by its shares."""
+"""Admission of organisations' requests at one instance."""
 
+import asyncio
 import math
 import typing
 from collections import abc
 
-from bilberryglade._limits import shares
+from bilberryglade._limits import parts
+from bilberryglade._membership import candidacy, fleet
 from bilberryglade._routing import catalogue
 from bilberryglade._values import clock
+from bilberryglade_schema import fleet as messages
 
+#: Longest time for which a request waits for a token of the pool.
+WAIT_SECONDS: typing.Final = 0.08
 #: Seconds over which the demand is counted.
-DEMAND_SECONDS: typing.Final = 0.6
+DEMAND_SECONDS: typing.Final = 0.8
+#: Seconds for which tokens ahead of need are asked, and are kept.
+AHEAD_SECONDS: typing.Final = 0.4
+KEEP_SECONDS: typing.Final = 1.0
+MOST_AHEAD: typing.Final = 12
+#: Time to come back for a caller who got no answer of the coordinator.
+UNANSWERED_SECONDS: typing.Final = 0.3
 
 
 class Desk(typing.NamedTuple):
     """What an instance knows of one organisation's quota."""
 
-    bucket: shares.Bucket
-    #: Rate lent by the coordinator, and the seconds at which that ends.
-    lent: float = 0
-    lent_until: float = 0
-    #: Moving count of requests a second, refused ones included.
-    demand: float = 0
+    #: Its own part.
+    bucket: parts.Bucket
+    #: Tokens of the pool, and the seconds until which they are kept.
+    spare: int = 0
+    spare_until: float = 0
+    #: Seconds before which the pool has no token.
+    retry_at: float = 0
+    #: Moving count of requests a second that the own part did not cover.
+    need: float = 0
     counted_at: float = 0
 
 
 class Desks:
     """The desks of all organisations."""
 
-    def __init__(self, instances: abc.Callable[[], int]) -> None:
-        """`instances` returns how many instances share each quota."""
+    def __init__(
+        self,
+        members: fleet.Fleet,
+        lease: candidacy.Candidacy,
+        instances: abc.Callable[[], int],
+        ask_own: abc.Callable[[messages.QuotaAsk], messages.QuotaGrant],
+    ) -> None:
+        """`instances` returns how many instances share each quota.
+
+        `ask_own` answers the asks of this instance while it coordinates.
+        """
+        self.members = members
+        self.lease = lease
         self.instances = instances
         self.desks: dict[str, Desk] = {}
+        self.waiting: dict[int, asyncio.Future[messages.QuotaGrant]] = {}
+        self.sequence = 0
+        self.ask_own = ask_own
 
-    def admit(self, holder: catalogue.Organisation) -> float | None:
+    async def admit(self, holder: catalogue.Organisation) -> float | None:
         """Takes a token; returns None, or the seconds until there is one."""
         if not holder.rate:
             return None
         now = clock.now()
-        quota = shares.Quota(holder.rate, holder.burst)
-        desk = _counted(self._desk(holder.name, quota, now), now)
-        rate = self._rate(desk, quota, now)
-        taken = shares.take(desk.bucket, quota, rate, now)
+        quota = parts.Quota(holder.rate, holder.burst)
+        flow = parts.even_flow(quota, self.instances())
+        desk = self._desk(holder.name, flow, now)
+        taken = parts.take(desk.bucket, flow, 1, 0, now)
         self.desks[holder.name] = desk._replace(bucket=taken.bucket)
-        return None if taken.is_admitted else taken.retry_seconds
+        if taken.amount:
+            return None
+        return await self._admit_from_pool(holder.name, taken.retry_seconds)
 
     def give_back(self, organisation: str) -> None:
         """Returns the token of a request that reached no target."""
         desk = self.desks.get(organisation)
         if desk is not None:
             self.desks[organisation] = desk._replace(
-                bucket=shares.give_back(desk.bucket)
+                bucket=parts.give_back(desk.bucket)
             )
 
-    def lend(self, lent: abc.Mapping[str, float], asked_at: float) -> None:
-        """Takes in the coordinator's answer to what was asked then."""
-        until = asked_at + shares.SHARE_SECONDS
-        for name, rate in lent.items():
-            desk = self.desks.get(name)
-            if desk is not None:
-                self.desks[name] = desk._replace(lent=rate, lent_until=until)
-
-    def demands(self) -> dict[str, float]:
-        """Returns the requests a second of each organisation."""
+    def take(self, grant: messages.QuotaGrant) -> None:
+        """Takes in an answer of the coordinator."""
+        future = self.waiting.get(grant['sequence'])
+        is_own = grant['boot'] == self.members.own.boot
+        if is_own and future is not None and not future.done():
+            future.set_result(grant)
+
+    async def _admit_from_pool(
+        self,
+        name: str,
+        own_retry_seconds: float,
+    ) -> float | None:
         now = clock.now()
-        return {
-            name: round(_faded(desk, now), 2)
-            for name, desk in self.desks.items()
-            if _faded(desk, now) > LEAST_DEMAND
+        desk = _counted(self.desks[name], now)
+        if desk.spare and desk.spare_until > now:
+            self.desks[name] = desk._replace(spare=desk.spare - 1)
+            return None
+        self.desks[name] = desk
+        if desk.retry_at > now:
+            return min(desk.retry_at - now, own_retry_seconds)
+        grant = await self._ask(name, _ahead(desk))
+        if grant is None:
+            return min(UNANSWERED_SECONDS, own_retry_seconds)
+        now = clock.now()
+        desk = self.desks[name]
+        retry_seconds = grant['retry_ms'] / 1000
+        if not grant['amount']:
+            self.desks[name] = desk._replace(retry_at=now + retry_seconds)
+            return min(retry_seconds, own_retry_seconds)
+        self.desks[name] = desk._replace(
+            spare=_kept(desk, now) + grant['amount'] - 1,
+            spare_until=now + KEEP_SECONDS,
+        )
+        return None
+
+    async def _ask(
+        self,
+        name: str,
+        extra: int,
+    ) -> messages.QuotaGrant | None:
+        self.sequence += 1
+        number = self.sequence
+        ask: messages.QuotaAsk = {
+            'kind': 'quota_ask',
+            'sender': self.members.own.name,
+            'boot': self.members.own.boot,
+            'sequence': number,
+            'organisation': name,
+            'needed': 1,
+            'extra': extra,
         }
+        if self.lease.holds:
+            return self.ask_own(ask)
+        future: asyncio.Future[messages.QuotaGrant] = (
+            asyncio.get_running_loop().create_future()
+        )
+        if not self.members.send(self.lease.coordinator, ask):
+            return None
+        self.waiting[number] = future
+        try:
+            async with asyncio.timeout(WAIT_SECONDS):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            self.waiting.pop(number, None)
 
-    def _desk(self, name: str, quota: shares.Quota, now: float) -> Desk:
+    def _desk(self, name: str, flow: parts.Flow, now: float) -> Desk:
         known = self.desks.get(name)
-        if known is not None:
-            return known
-        floor = shares.floor_of(quota, self.instances())
-        return Desk(shares.Bucket(shares.room_of(quota, floor), now))
-
-    def _rate(self, desk: Desk, quota: shares.Quota, now: float) -> float:
-        floor = shares.floor_of(quota, self.instances())
-        if desk.lent_until <= now:
-            return floor
-        # A quota that was lowered binds at once, whatever was lent before.
-        return min(max(desk.lent, floor), quota.rate)
+        return known or Desk(parts.Bucket(flow.room, now))
 
 
-#: Requests a second below which a demand is not worth a report.
-LEAST_DEMAND: typing.Final = 0.05
+def _kept(desk: Desk, now: float) -> int:
+    return desk.spare if desk.spare_until > now else 0
 
 
-def _counted(desk: Desk, now: float) -> Desk:
-    demand = _faded(desk, now) + 1 / DEMAND_SECONDS
-    return desk._replace(demand=demand, counted_at=now)
+def _ahead(desk: Desk) -> int:
+    return min(int(desk.need * AHEAD_SECONDS), MOST_AHEAD)
 
 
-def _faded(desk: Desk, now: float) -> float:
+def _counted(desk: Desk, now: float) -> Desk:
     elapsed = max(now - desk.counted_at, 0)
-    return desk.demand * math.exp(-elapsed / DEMAND_SECONDS)
+    need = desk.need * math.exp(-elapsed / DEMAND_SECONDS)
+    return desk._replace(need=need + 1 / DEMAND_SECONDS, counted_at=now)
--- /dev/null
+++ b/src/bilberryglade/_limits/pools.py
@@ -0,0 +1,62 @@
+"""The coordinator's pools: one a quota, from which tokens go where needed."""
+
+from collections import abc
+
+from bilberryglade._limits import parts
+from bilberryglade._membership import candidacy, fleet
+from bilberryglade._routing import catalogue
+from bilberryglade._values import clock
+from bilberryglade_schema import fleet as messages
+
+
+class Pools:
+    """Gives tokens while this instance coordinates."""
+
+    def __init__(
+        self,
+        members: fleet.Fleet,
+        lease: candidacy.Candidacy,
+        organisations: abc.Callable[[], dict[str, catalogue.Organisation]],
+    ) -> None:
+        """`organisations` returns those of the configuration in force."""
+        self.members = members
+        self.lease = lease
+        self.organisations = organisations
+        self.buckets: dict[str, parts.Bucket] = {}
+        #: Seconds at which this term began; its pools were empty then.
+        self.began_at = 0.0
+
+    def begin(self) -> None:
+        """Starts a term with empty pools: the earlier ones may be spent."""
+        self.buckets.clear()
+        self.began_at = clock.now()
+
+    def answer(self, ask: messages.QuotaAsk) -> messages.QuotaGrant:
+        """Takes tokens out of a pool; none if this one does not coordinate."""
+        taken = self._take(ask)
+        return {
+            'kind': 'quota_grant',
+            'sender': self.members.own.name,
+            'boot': ask['boot'],
+            'sequence': ask['sequence'],
+            'organisation': ask['organisation'],
+            'amount': taken.amount,
+            'retry_ms': int(taken.retry_seconds * 1000),
+        }
+
+    def _take(self, ask: messages.QuotaAsk) -> parts.Taken:
+        holder = self.organisations().get(ask['organisation'])
+        now = clock.now()
+        empty = parts.Bucket(0, self.began_at)
+        if holder is None or not self.lease.holds:
+            return parts.Taken(empty, 0, 1.0)
+        flow = parts.pool_flow(parts.Quota(holder.rate, holder.burst))
+        taken = parts.take(
+            self.buckets.get(holder.name, empty),
+            flow,
+            max(ask['needed'], 0),
+            max(ask['extra'], 0),
+            now,
+        )
+        self.buckets[holder.name] = taken.bucket
+        return taken
--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -102,9 +102,10 @@
 def http_client(
     connection_class: abc.Callable[[pools.BasePool], connection.Connection],
     size: int,
+    idle_ms: int = IDLE_MS,
 ) -> aiosonic.HTTPClient:
     """Returns a client with at most `size` connections of one class."""
-    pool = pools.PoolConfig(size=size, max_conn_idle_ms=IDLE_MS)
+    pool = pools.PoolConfig(size=size, max_conn_idle_ms=idle_ms)
     return aiosonic.HTTPClient(
         connectors.TCPConnector(
             pool_configs={':default': pool},
--- a/src/bilberryglade/_targets/sender.py
+++ b/src/bilberryglade/_targets/sender.py
@@ -42,12 +42,21 @@
 class Sender:
     """Sends calls over kept or fresh connections, each call once."""
 
-    def __init__(self, most_connections: int, most_answer_bytes: int) -> None:
-        """Opens connections as they are needed, `most_connections` a class."""
+    def __init__(
+        self,
+        most_connections: int,
+        most_answer_bytes: int,
+        idle_ms: int = connections.IDLE_MS,
+    ) -> None:
+        """Opens connections as they are needed, `most_connections` a class.
+
+        A kept connection that was idle for `idle_ms` is closed, not used.
+        """
         self.most_answer_bytes = most_answer_bytes
         self.kept = connections.http_client(
             connections.TargetConnection,
             most_connections,
+            idle_ms,
         )
         self.fresh = connections.http_client(
             connections.FreshConnection,
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -37,22 +37,35 @@
 
     kind: Literal['report']
     sender: str
+    key_loads: dict[str, dict[str, float]]
+
+
+class QuotaAsk(TypedDict):
+    """
+    An instance needs tokens of an organisation's quota beyond its own part.
+    """
+
+    kind: Literal['quota_ask']
+    sender: str
     boot: str
     sequence: int
-    demands: dict[str, float]
-    key_loads: dict[str, dict[str, float]]
+    organisation: str
+    needed: int
+    extra: int
 
 
-class Shares(TypedDict):
+class QuotaGrant(TypedDict):
     """
-    The coordinator's answer to a report; rates by organisation.
+    The coordinator's answer; each token admits one request.
     """
 
-    kind: Literal['shares']
+    kind: Literal['quota_grant']
     sender: str
     boot: str
     sequence: int
-    shares: dict[str, float]
+    organisation: str
+    amount: int
+    retry_ms: int
 
 
 class RelayedRecord(TypedDict):
