--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -112,7 +112,9 @@
         turns = self.turns.get(route.name)
         if turns is None or turns.parts != route.parts:
             turns = splitting.start(route, self.offset)
-        self.turns[route.name], service = splitting.choose(turns)
+        chosen = splitting.choose(turns)
+        self.turns[route.name] = chosen.turns
+        service = chosen.service
         patience = route.timeout
         if request.patience is not None:
             patience = min(patience, request.patience)
@@ -160,12 +162,19 @@
                 return self._with_return(job, delivered)
 
     def _seconds(self, job: Job, delivered: Delivered) -> float:
+        """Returns how long a target has, which is all the time there is.
+
+        Only where another target can take over is some of it kept back.
+        """
         left = job.deadline - clock.now()
         route = job.admitted.route
         is_last = len(delivered.targets) + 1 >= route.attempts
-        if is_last or not route.repeatable:
-            return left
-        return left * FIRST_SEND_PART
+        service = self._service(job.service)
+        has_others = service is not None and not service.is_partitioned
+        may_repeat = route.repeatable and has_others and not is_last
+        if may_repeat and budget.spent(self.budgets[job.service]):
+            return left * FIRST_SEND_PART
+        return left
 
     def _may_repeat(self, job: Job, delivered: Delivered) -> bool:
         """Tells whether a request may be sent once more.
@@ -183,7 +192,7 @@
             return False
         if isinstance(delivered.outcome, outcomes.Unknown):
             return True
-        return delivered.outcome.status >= FAILED_STATUS
+        return delivered.outcome.status >= sends.FAILED_STATUS
 
     def _spend(self, service: str) -> bool:
         left = budget.spent(self.budgets[service])
@@ -212,9 +221,7 @@
             views = self._views(job.service)
             return choosing.choose(views, demand, now)
         # The owner of a key is the only one that may be tried again.
-        return await self._choose_owner(
-            job, demand._replace(tried=frozenset())
-        )
+        return await self._choose_owner(job, demand._replace(tried=frozenset()))
 
     async def _choose_owner(
         self,
@@ -281,7 +288,3 @@
         return self._refused(
             job.request, delivered, choosing.LEAST_RETRY_SECONDS * 2
         )
-
-
-#: Status of a target's answer from which a repeatable request is tried again.
-FAILED_STATUS: typing.Final = 500
--- a/src/bilberryglade/_delivery/sends.py
+++ b/src/bilberryglade/_delivery/sends.py
@@ -38,6 +38,8 @@
 #: Instances that may send to one cold target: with one request each in
 #: `choosing.COLD_SPACING_SECONDS` they stay within what it bears.
 MARGIN_REQUESTS: typing.Final = 2.0
+#: Status from which an answer tells of a failure of its target.
+FAILED_STATUS: typing.Final = 500
 
 
 class Sends:
@@ -94,9 +96,10 @@
 
     def forget_gone(self) -> None:
         """Drops the standing of targets that are not listed any more."""
+        directory_now = self.reader.known.directory
         listed = {
             (target.name, target.born)
-            for target in self.reader.known.directory.targets.values()
+            for target in directory_now.targets.values()
         }
         for life in list(self.standings):
             if life not in listed and not self.standings[life].outstanding:
@@ -120,22 +123,9 @@
         seconds: float,
     ) -> None:
         life = (target.name, target.born)
-        known = self.standings[life]
-        now = clock.now()
-        outcome = sent.outcome
-        if sent.is_shed:
-            known = standing.shed(known, target.places, now)
-        elif isinstance(outcome, outcomes.Answered):
-            known = standing.answered(
-                known, seconds, sent.report, outcome.status < 500, now
-            )
-        elif sent.is_misdirected:
-            return
-        elif isinstance(outcome, outcomes.NotRun):
-            known = standing.unreachable(known, target.offset, now)
-        elif outcome.reason is outcomes.Reason.answer_lost:
-            known = standing.lost(known, target.offset, now)
-        self.standings[life] = known
+        self.standings[life] = after(
+            self.standings[life], target, sent, seconds, clock.now()
+        )
 
     def _may_warm(self, target: directory.Target) -> bool:
         """Tells whether this instance is among those that warm a target."""
@@ -147,7 +137,28 @@
         if len(names) <= count:
             return True
         own = spreading.score(self.members.own.name, target.name)
-        better = sum(
-            spreading.score(name, target.name) > own for name in names
-        )
+        better = sum(spreading.score(name, target.name) > own for name in names)
         return better < count
+
+
+def after(
+    known: standing.Standing,
+    target: directory.Target,
+    sent: Sent,
+    seconds: float,
+    now: float,
+) -> standing.Standing:
+    """Returns the standing of a target after a send that took `seconds`."""
+    outcome = sent.outcome
+    if sent.is_shed:
+        return standing.shed(known, target.places, now)
+    if sent.is_misdirected:
+        return known
+    if isinstance(outcome, outcomes.Answered):
+        is_good = outcome.status < FAILED_STATUS
+        return standing.answered(known, seconds, sent.report, is_good, now)
+    if isinstance(outcome, outcomes.NotRun):
+        return standing.unreachable(known, target.offset, now)
+    if outcome.reason is outcomes.Reason.answer_lost:
+        return standing.lost(known, target.offset, now)
+    return known
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -20,7 +20,7 @@
 from bilberryglade._limits import desks, pools
 from bilberryglade._membership import candidacy, enrolment, fleet
 from bilberryglade._observability import exchange_counts
-from bilberryglade._ownership import key_loads, steward
+from bilberryglade._ownership import key_loads, lessor, steward
 from bilberryglade._peers import network
 from bilberryglade._routing import catalogue
 from bilberryglade._targets import sender
@@ -38,6 +38,8 @@
 #: Targets of the platform close idle connections after 10 s.
 TARGET_IDLE_MS: typing.Final = 7000
 PEER_QUEUE: typing.Final = 2000
+READY_STATUS: typing.Final = 200
+UNREADY_STATUS: typing.Final = 503
 METRICS_PORT: typing.Final = 9464
 LEAD_SECONDS: typing.Final = 0.5
 HOUSEKEEPING_SECONDS: typing.Final = 0.25
@@ -63,7 +65,10 @@
         self.stopping = asyncio.Event()
         self.peers = network.PeerNetwork(
             place.peer_address,
-            {'public_key': keys['public_key'], 'secret_key': keys['secret_key']},
+            {
+                'public_key': keys['public_key'],
+                'secret_key': keys['secret_key'],
+            },
             PEER_QUEUE,
         )
         own = fleet.Member(
@@ -74,57 +79,27 @@
         )
         self.fleet = fleet.Fleet(own, self.peers)
         self.candidacy = candidacy.Candidacy(self.fleet, client)
-        self.enrolment = enrolment.Enrolment(
-            self.fleet, client, self.candidacy
-        )
+        self.enrolment = enrolment.Enrolment(self.fleet, client, self.candidacy)
         self.reader = reading.Reader(self.fleet, client, self.candidacy)
         self.targets = sender.Sender(
             TARGET_CONNECTIONS, ANSWER_BYTES, TARGET_IDLE_MS
         )
+        self.load_sum = key_loads.LoadSum()
         self.steward = steward.Steward(
             self.fleet,
             self.candidacy,
             client,
-            orders.Orders(self.targets),
             self.reader,
-            place.bounds.longest_lease,
+            lessor.Lessor(
+                self.candidacy,
+                orders.Orders(self.targets),
+                self.reader,
+                place.bounds.longest_lease,
+            ),
+            self.load_sum.loads,
         )
         self._wire_requests()
 
-    def _wire_requests(self) -> None:
-        self.pools = pools.Pools(
-            self.fleet, self.candidacy, self.organisations
-        )
-        self.desks = desks.Desks(
-            self.fleet, self.candidacy, self.instances, self.pools.answer
-        )
-        self.load_sum = key_loads.LoadSum()
-        self.reporter = key_loads.Reporter(
-            self.fleet, self.candidacy, self.load_sum.take
-        )
-        self.candidacy.on_start.append(self.pools.begin)
-        self.candidacy.on_start.append(self.lead)
-        self.steward.loads = self.load_sum.loads
-        self.sends = sends.Sends(
-            self.reader,
-            self.fleet,
-            exchange.TargetExchange(self.targets),
-            self.cold_room,
-        )
-        self.router = router.Router(
-            self.place,
-            self.reader,
-            self.steward,
-            self.desks,
-            self.sends,
-            self.instances,
-        )
-        self.router.count_key = self.reporter.count
-        self.exchanges = exchange_counts.Exchanges(self.reader, self.steward)
-        self.front = front.Front(
-            self.router, self.exchanges.take, self.caller_bounds
-        )
-
     def instances(self) -> int:
         """Returns how many instances share limits."""
         return len(self.fleet.members)
@@ -137,7 +112,9 @@
     def caller_bounds(self) -> catalogue.CallerBounds:
         """Returns the bounds on what callers send."""
         known = self.reader.known.catalogue
-        return catalogue.CallerBounds() if known is None else known.caller_bounds
+        return (
+            catalogue.CallerBounds() if known is None else known.caller_bounds
+        )
 
     def cold_room(self, service: str) -> float:
         """Returns the requests a second that a cold target may get."""
@@ -178,6 +155,36 @@
                 self.fleet.send(name, whole)
         self.fleet.send(name, self.steward.message())
 
+    def _wire_requests(self) -> None:
+        self.pools = pools.Pools(self.fleet, self.candidacy, self.organisations)
+        self.desks = desks.Desks(
+            self.fleet, self.candidacy, self.instances, self.pools.answer
+        )
+        self.reporter = key_loads.Reporter(
+            self.fleet, self.candidacy, self.load_sum.take
+        )
+        self.candidacy.on_start.append(self.pools.begin)
+        self.candidacy.on_start.append(self.lead)
+        self.sends = sends.Sends(
+            self.reader,
+            self.fleet,
+            exchange.TargetExchange(self.targets),
+            self.cold_room,
+        )
+        self.router = router.Router(
+            self.place,
+            self.reader,
+            self.steward,
+            self.desks,
+            self.sends,
+            self.instances,
+        )
+        self.router.count_key = self.reporter.count
+        self.exchanges = exchange_counts.Exchanges(self.reader, self.steward)
+        self.front = front.Front(
+            self.router, self.exchanges.take, self.caller_bounds
+        )
+
 
 class Entry:
     """Runs the parts from start to planned stop."""
@@ -262,7 +269,7 @@
         ]
 
     async def _tell_ready(self, _: requests.Request) -> responses.Response:
-        status = 200 if self.parts.is_ready() else 503
+        status = READY_STATUS if self.parts.is_ready() else UNREADY_STATUS
         return responses.Response(status_code=status)
 
     async def _tell_metrics(self, _: requests.Request) -> responses.Response:
@@ -321,7 +328,6 @@
             message = received.ok_value.message
             received.ok_value.handler.handle(self.parts, message)
 
-
     def _note_rejected(self, cause: str) -> None:
         """Writes a line for the first message that is left out by a cause."""
         if cause not in self.rejected:
--- a/src/bilberryglade/_knowledge/knowledge.py
+++ b/src/bilberryglade/_knowledge/knowledge.py
@@ -57,7 +57,7 @@
     if batch.is_whole and batch.end < end:
         loguru.logger.info('stale reading of {} left out', topic)
         return known
-    gap = known.age(topic, read_at) if topic in known.read_at else 0.0
+    gap = known.age(topic, read_at) if topic in known.read_at else 0
     fold = topics.folds.entries[topic]
     after = fold(known, topics.Reading(batch, read_at, gap))
     newest = max(read_at, known.read_at.get(topic, read_at))
--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -29,6 +29,7 @@
 TURN_STEP_SECONDS: typing.Final = 0.12
 LOOK_SECONDS: typing.Final = 0.1
 RETRY_SECONDS: typing.Final = 0.4
+LEAST_PAUSE_SECONDS: typing.Final = 0.05
 #: Seconds between relays that only tell that nothing is new.
 QUIET_RELAY_SECONDS: typing.Final = 0.6
 
@@ -49,7 +50,7 @@
         self.known = knowledge.Knowledge()
         #: Called after each change of the knowledge.
         self.listeners: list[abc.Callable[[], None]] = []
-        self.quiet_since = 0.0
+        self.quiet_since: float = 0
         #: Newest record of each key by topic, for those who start.
         self.newest: dict[str, dict[str, stored.Record]] = {}
         #: Offset up to which this instance relayed each topic.
@@ -87,7 +88,9 @@
             began = clock.now()
             answered = await self.read_targets()
             pause = TARGETS_PAUSE_SECONDS if answered else RETRY_SECONDS
-            await asyncio.sleep(max(pause - (clock.now() - began), 0.05))
+            await asyncio.sleep(
+                max(pause - (clock.now() - began), LEAST_PAUSE_SECONDS)
+            )
 
     async def read_targets(self) -> bool:
         """Reads what is new of the targets; returns whether that went well."""
@@ -115,9 +118,7 @@
         if topic not in topics.folds.entries:
             return
         records = tuple(
-            stored.Record(
-                record['key'], record['offset'], record.get('value')
-            )
+            stored.Record(record['key'], record['offset'], record.get('value'))
             for record in relay['records']
         )
         known_end = self.known.ends.get(topic, -1)
@@ -259,10 +260,14 @@
     """Tells whether an entry matters beyond being a sign of life."""
     if before is None or after is None:
         return before is not after
+    return _facts(before) != _facts(after)
+
+
+def _facts(target: directories.Target) -> tuple[object, ...]:
     return (
-        before.born != after.born
-        or before.is_draining != after.is_draining
-        or before.address != after.address
-        or before.places != after.places
-        or bool(after.cold_until) != bool(before.cold_until)
+        target.born,
+        target.is_draining,
+        target.address,
+        target.places,
+        bool(target.cold_until),
     )
--- a/src/bilberryglade/_limits/desks.py
+++ b/src/bilberryglade/_limits/desks.py
@@ -105,6 +105,14 @@
         grant = await self._ask(name, _ahead(desk))
         if grant is None:
             return min(UNANSWERED_SECONDS, own_retry_seconds)
+        return self._take_grant(name, grant, own_retry_seconds)
+
+    def _take_grant(
+        self,
+        name: str,
+        grant: messages.QuotaGrant,
+        own_retry_seconds: float,
+    ) -> float | None:
         now = clock.now()
         desk = self.desks[name]
         retry_seconds = grant['retry_ms'] / 1000
--- a/src/bilberryglade/_limits/parts.py
+++ b/src/bilberryglade/_limits/parts.py
@@ -76,7 +76,7 @@
     spare = int(level - amount - flow.room / 2)
     if amount == needed:
         amount += max(min(extra, spare), 0)
-    retry_seconds = 0.0
+    retry_seconds: float = 0
     if not amount:
         retry_seconds = (1 - level) / flow.rate if flow.rate else 1.0
     return Taken(Bucket(level - amount, now), amount, retry_seconds)
--- a/src/bilberryglade/_limits/pools.py
+++ b/src/bilberryglade/_limits/pools.py
@@ -24,7 +24,7 @@
         self.organisations = organisations
         self.buckets: dict[str, parts.Bucket] = {}
         #: Seconds at which this term began; its pools were empty then.
-        self.began_at = 0.0
+        self.began_at: float = 0
 
     def begin(self) -> None:
         """Starts a term with empty pools: the earlier ones may be spent."""
--- a/src/bilberryglade/_membership/candidacy.py
+++ b/src/bilberryglade/_membership/candidacy.py
@@ -23,6 +23,7 @@
 IDLE_SECONDS: typing.Final = 0.2
 #: Seconds after a call that failed.
 RETRY_SECONDS: typing.Final = 0.25
+LEAST_PAUSE_SECONDS: typing.Final = 0.05
 
 
 class Candidacy:
@@ -37,7 +38,7 @@
         #: Seconds before which each own claim was sent, by its number.
         self.sent: dict[int, float] = {}
         #: Seconds at which the store last confirmed an own claim.
-        self.confirmed_at = 0.0
+        self.confirmed_at: float = 0
         #: Name of the coordinator, '' while none is known.
         self.coordinator = ''
         self.term = -1
@@ -99,7 +100,9 @@
             await self._read()
         failed = isinstance(appended, result.Err)
         pause = RETRY_SECONDS if failed else leadership.RENEWAL_SECONDS
-        await asyncio.sleep(max(pause - (clock.now() - began), 0.05))
+        await asyncio.sleep(
+            max(pause - (clock.now() - began), LEAST_PAUSE_SECONDS)
+        )
 
     async def _look(self) -> None:
         is_read = await self._read()
--- a/src/bilberryglade/_membership/enrolment.py
+++ b/src/bilberryglade/_membership/enrolment.py
@@ -108,9 +108,7 @@
             if not self.lease.holds:
                 continue
             for member in self.members.others():
-                self.members.heard.setdefault(
-                    member.name, clock.now()
-                )
+                self.members.heard.setdefault(member.name, clock.now())
                 if self.members.silence_of(member.name) > SILENT_SECONDS:
                     loguru.logger.info('member {} is gone', member.name)
                     await self.client.append(MEMBERS_TOPIC, member.name, b'')
@@ -118,34 +116,38 @@
     def _take(self, batch: stored.Batch) -> bool:
         """Takes in entries; returns False if this instance lost its own."""
         own = self.members.own.name
-        is_listed = True
-        named = {record.key for record in batch.records}
         for record in batch.records:
-            if record.key == own:
-                is_listed = record.payload is not None
-                continue
-            if record.payload is None:
-                self.members.drop(record.key)
-                continue
-            entry = codec.decode_packed(record.payload, messages.Member)
-            if isinstance(entry, result.Err):
-                loguru.logger.warning('member {} unreadable', record.key)
-                continue
-            self.members.take(
-                fleet.Member(
-                    name=record.key,
-                    boot=entry.ok_value['boot'],
-                    address=entry.ok_value['address'],
-                    failure_domain=entry.ok_value['failure_domain'],
-                    offset=record.offset,
-                ),
-            )
+            if record.key != own:
+                self._take_record(record)
         if batch.is_whole:
-            for member in self.members.others():
-                if member.name not in named and member.offset >= 0:
-                    self.members.drop(member.name)
-            is_listed = is_listed and own in named
-        return is_listed
+            self._drop_unnamed({record.key for record in batch.records})
+        own_records = [record for record in batch.records if record.key == own]
+        if not own_records:
+            return not batch.is_whole
+        return own_records[-1].payload is not None
+
+    def _take_record(self, record: stored.Record) -> None:
+        if record.payload is None:
+            self.members.drop(record.key)
+            return
+        entry = codec.decode_packed(record.payload, messages.Member)
+        if isinstance(entry, result.Err):
+            loguru.logger.warning('member {} unreadable', record.key)
+            return
+        self.members.take(
+            fleet.Member(
+                name=record.key,
+                boot=entry.ok_value['boot'],
+                address=entry.ok_value['address'],
+                failure_domain=entry.ok_value['failure_domain'],
+                offset=record.offset,
+            ),
+        )
+
+    def _drop_unnamed(self, named: set[str]) -> None:
+        for member in self.members.others():
+            if member.name not in named and member.offset >= 0:
+                self.members.drop(member.name)
 
 
 def _keys_in(batch: stored.Batch) -> messages.PeerKeys | None:
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -86,9 +86,7 @@
             retry_after_ms=delivered.retry_after_ms,
             configuration=known.catalogue and known.catalogue.version,
             tables=self.keeper.tables.version,
-            targets_age_ms=int(
-                known.age(topics.TARGETS, now) * MILLISECONDS
-            )
+            targets_age_ms=int(known.age(topics.TARGETS, now) * MILLISECONDS)
             if topics.TARGETS in known.read_at
             else None,
         ).info('request')
--- a/src/bilberryglade/_ownership/holds.py
+++ b/src/bilberryglade/_ownership/holds.py
@@ -32,7 +32,6 @@
     handover: str = ''
 
 
-
 def lease_end(sent_at: float, seconds: float) -> float:
     """Returns when a lease ordered at `sent_at` has ended for certain."""
     return sent_at + seconds * (1 + TARGET_DRIFT_PART) + LEASE_MARGIN_SECONDS
@@ -155,6 +154,41 @@
     return tuple(hold for hold in holds if is_held(hold, lives, now))
 
 
+def doubt(holds: tuple[Hold, ...], entry: ranges.Range) -> float:
+    """Returns until when unanswered orders to a range's owner may count."""
+    return max(
+        (
+            hold.unanswered_until
+            for hold in holds
+            if hold.owner == entry.owner
+            and hold.first <= entry.last
+            and hold.last >= entry.first
+        ),
+        default=0,
+    )
+
+
+def current(holds: tuple[Hold, ...], hold: Hold) -> Hold | None:
+    """Returns what became of `hold` while its release was on its way."""
+    for known in holds:
+        same_keys = (known.first, known.last) == (hold.first, hold.last)
+        if same_keys and known.owner == hold.owner and not known.is_released:
+            return known
+    return None
+
+
+def handover(holds: tuple[Hold, ...], entry: ranges.Range) -> str:
+    """Returns the word of the one owner that released a whole range."""
+    words = {
+        hold.handover
+        for hold in holds
+        if hold.is_released
+        and hold.first <= entry.first
+        and hold.last >= entry.last
+    }
+    return words.pop() if len(words) == 1 else ''
+
+
 def _is_same(hold: Hold, entry: ranges.Range) -> bool:
     return (hold.first, hold.last, hold.owner, hold.fence) == (
         entry.first,
--- a/src/bilberryglade/_ownership/key_loads.py
+++ b/src/bilberryglade/_ownership/key_loads.py
@@ -103,7 +103,7 @@
             if now - taken_at > REPORT_LIFE_SECONDS:
                 continue
             for block, rate in report['key_loads'].get(service, {}).items():
-                total[int(block)] = total.get(int(block), 0.0) + rate
+                total[int(block)] = total.get(int(block), 0) + rate
         return total
 
 
--- /dev/null
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -0,0 +1,290 @@
+"""Gives, renews and takes back leases, as the tables want them.
+
+Each order is noted before it is sent, so that what a target may hold is never
+underestimated, whatever becomes of the answer.
+"""
+
+import asyncio
+import functools
+import typing
+from collections import abc
+
+import loguru
+import result
+
+from bilberryglade._knowledge import reading
+from bilberryglade._membership import candidacy
+from bilberryglade._ownership import holds as leased, owners, ranges
+from bilberryglade._targets import directory
+from bilberryglade._values import clock, leases
+from bilberryglade.platform import orders
+
+#: Seconds of a usual lease: a lost coordinator is replaced, and its leases
+#: are renewed, before they end.
+LEASE_SECONDS: typing.Final = 4.5
+RENEWAL_SECONDS: typing.Final = 1.0
+#: Seconds without the store's word from which leases are made as long as
+#: targets accept, so that they outlast an outage.
+STORE_SILENCE_SECONDS: typing.Final = 1.2
+#: Longest wait for the end of the work on released keys.
+RELEASE_SECONDS: typing.Final = 1.5
+RETRY_SECONDS: typing.Final = 0.3
+#: Seconds without any confirmed order after which a target is passed over.
+UNREACHABLE_SECONDS: typing.Final = 1.5
+#: Seconds after which such a target is tried again.
+PASSED_OVER_SECONDS: typing.Final = 6.0
+
+Slot: typing.TypeAlias = tuple[str, ranges.Range]
+
+
+class Grant(typing.NamedTuple):
+    """How far a range's lease is."""
+
+    #: Seconds until which a confirmed lease holds; 0 if none was confirmed.
+    until: float = 0
+    #: Seconds at which the next order is due.
+    due: float = 0
+
+
+class Lessor:
+    """Orders leases while this instance coordinates."""
+
+    def __init__(
+        self,
+        lease: candidacy.Candidacy,
+        target_orders: orders.Orders,
+        reader: reading.Reader,
+        longest_lease: float,
+    ) -> None:
+        """Has ordered nothing; `longest_lease` is in seconds."""
+        self.lease = lease
+        self.orders = target_orders
+        self.reader = reader
+        self.longest_lease = longest_lease
+        self.holds: dict[str, tuple[leased.Hold, ...]] = {}
+        self.grants: dict[Slot, Grant] = {}
+        self.busy: dict[Slot, asyncio.Task[None]] = {}
+        #: Ranges that need a new fence, since a target saw a higher one.
+        self.fenced: set[Slot] = set()
+        #: Where each life of a target was reached last.
+        self.addresses: dict[ranges.Owner, str] = {}
+        #: Seconds from which no order to a life of a target was confirmed.
+        self.failing_since: dict[ranges.Owner, float] = {}
+
+    def begin(self, held: abc.Mapping[str, abc.Iterable[ranges.Range]]) -> None:
+        """Starts a term: each range of `held` may be leased to its owner."""
+        until = leased.lease_end(clock.now(), self.longest_lease)
+        self.holds = {
+            service: tuple(_held(entry, until) for entry in entries)
+            for service, entries in held.items()
+        }
+        self.grants.clear()
+        self.fenced.clear()
+        self.failing_since.clear()
+
+    def stop(self) -> None:
+        """Ends all orders on their way."""
+        for task in self.busy.values():
+            task.cancel()
+        self.busy.clear()
+        self.grants.clear()
+
+    def lives(self) -> dict[str, int]:
+        """Returns the moment of the newest start of each listed target."""
+        targets = self.reader.known.directory.targets
+        return {target.name: target.born for target in targets.values()}
+
+    def passes_over(self, target: directory.Target, now: float) -> bool:
+        """Tells whether a target confirms no orders, for a limited time."""
+        owner = owner_of(target)
+        since = self.failing_since.get(owner)
+        if since is None or now - since <= UNREACHABLE_SECONDS:
+            return False
+        if now - since > PASSED_OVER_SECONDS:
+            self.failing_since.pop(owner)
+            return False
+        return True
+
+    def forget_ended(self) -> None:
+        """Drops leases that no target can hold any more."""
+        now = clock.now()
+        lives = self.lives()
+        self.holds = {
+            service: leased.without_ended(known, lives, now)
+            for service, known in self.holds.items()
+        }
+
+    def keep_only(self, slots: abc.Set[Slot]) -> None:
+        """Forgets the progress of ranges that are not wanted any more."""
+        self.fenced.clear()
+        self.grants = {
+            slot: grant for slot, grant in self.grants.items() if slot in slots
+        }
+
+    def is_granted(self, slot: Slot, now: float) -> bool:
+        """Tells whether the owner of a range has confirmed a lease."""
+        return self.grants.get(slot, Grant()).until > now
+
+    def start_orders(self, tables: owners.Tables) -> None:
+        """Starts the orders that are due."""
+        now = clock.now()
+        for service, entries in tables.services.items():
+            for owned in entries:
+                slot = (service, owned.entry)
+                is_due = self.grants.get(slot, Grant()).due <= now
+                if is_due and slot not in self.busy:
+                    self._start(slot)
+
+    def blocking(
+        self,
+        service: str,
+        entry: ranges.Range,
+    ) -> tuple[leased.Hold, ...]:
+        """Returns the leases that keep a range from its owner."""
+        return leased.in_the_way(
+            self.holds.get(service, ()), entry, self.lives(), clock.now()
+        )
+
+    def _start(self, slot: Slot) -> None:
+        task = asyncio.create_task(self._serve(*slot))
+        self.busy[slot] = task
+        task.add_done_callback(functools.partial(self._end, slot))
+
+    def _end(self, slot: Slot, task: asyncio.Task[None]) -> None:
+        if self.busy.get(slot) is task:
+            self.busy.pop(slot)
+        if not task.cancelled():
+            task.result()
+
+    async def _serve(self, service: str, entry: ranges.Range) -> None:
+        """Clears a range of other holders, then grants or renews it."""
+        slot = (service, entry)
+        self.grants[slot] = self.grants.get(slot, Grant())._replace(
+            due=clock.now() + RETRY_SECONDS
+        )
+        await asyncio.gather(
+            *(
+                self._release(service, hold, entry)
+                for hold in self.blocking(service, entry)
+            )
+        )
+        target = self._target_of(entry.owner)
+        if target is None or not self.lease.holds:
+            return
+        if not self.blocking(service, entry):
+            await self._grant(service, entry, target.address)
+
+    async def _release(
+        self,
+        service: str,
+        hold: leased.Hold,
+        entry: ranges.Range,
+    ) -> None:
+        target = self._target_of(hold.owner)
+        address = self.addresses.get(hold.owner)
+        if target is not None:
+            address = target.address
+        if hold.is_released or address is None:
+            return
+        lease = leases.Lease(
+            first=max(hold.first, entry.first),
+            last=min(hold.last, entry.last),
+            fence=entry.fence,
+        )
+        answer = await self.orders.release(address, lease, RELEASE_SECONDS)
+        if isinstance(answer, result.Err):
+            _note('release', entry, hold.owner, answer.err_value)
+            return
+        known = self.holds.get(service, ())
+        current = leased.current(known, hold)
+        if current is not None:
+            self.holds[service] = leased.released(
+                known, current, entry, answer.ok_value
+            )
+
+    async def _grant(
+        self,
+        service: str,
+        entry: ranges.Range,
+        address: str,
+    ) -> None:
+        self.addresses[entry.owner] = address
+        seconds = self._lease_seconds()
+        sent_at = clock.now()
+        before = self.holds.get(service, ())
+        self.holds[service] = leased.ordered(
+            before, entry, leased.lease_end(sent_at, seconds)
+        )
+        lease = leases.Lease(
+            entry.first,
+            entry.last,
+            entry.fence,
+            seconds,
+            leased.handover(before, entry),
+        )
+        answer = await self.orders.grant(address, lease)
+        if isinstance(answer, result.Err):
+            self._take_failure((service, entry), before, answer.err_value)
+            return
+        self.holds[service] = leased.confirmed(
+            self.holds[service], entry, leased.doubt(before, entry)
+        )
+        self.failing_since.pop(entry.owner, None)
+        self.grants[service, entry] = Grant(
+            sent_at + seconds, sent_at + RENEWAL_SECONDS
+        )
+
+    def _take_failure(
+        self,
+        slot: Slot,
+        before: tuple[leased.Hold, ...],
+        failure: leases.Failure,
+    ) -> None:
+        service, entry = slot
+        self.failing_since.setdefault(entry.owner, clock.now())
+        if failure is leases.Failure.unreachable:
+            self.holds[service] = leased.withdrawn(
+                self.holds[service], before, entry
+            )
+        if failure is leases.Failure.fenced:
+            self.fenced.add(slot)
+        _note('grant', entry, entry.owner, failure)
+
+    def _lease_seconds(self) -> float:
+        """Returns a longer lease while the store does not answer."""
+        silence = clock.now() - self.lease.confirmed_at
+        if silence > STORE_SILENCE_SECONDS:
+            return self.longest_lease
+        return LEASE_SECONDS
+
+    def _target_of(self, owner: ranges.Owner) -> directory.Target | None:
+        listed = self.reader.known.directory
+        target = listed.targets.get(owner.target)
+        if target is None or target.born != owner.born:
+            return None
+        return target
+
+
+def owner_of(target: directory.Target) -> ranges.Owner:
+    """Returns the life of a target that may own keys."""
+    return ranges.Owner(target.name, target.born)
+
+
+def _held(entry: ranges.Range, until: float) -> leased.Hold:
+    return leased.Hold(entry.first, entry.last, entry.owner, entry.fence, until)
+
+
+def _note(
+    order: str,
+    entry: ranges.Range,
+    owner: ranges.Owner,
+    failure: leases.Failure,
+) -> None:
+    loguru.logger.info(
+        '{} of {}-{} at {} not confirmed: {}',
+        order,
+        entry.first,
+        entry.last,
+        owner.target,
+        failure,
+    )
--- a/src/bilberryglade/_ownership/owners.py
+++ b/src/bilberryglade/_ownership/owners.py
@@ -1,6 +1,9 @@
 """What an instance knows of the owners of keys, from the coordinator."""
 
 import typing
+from collections import abc
+
+import immutables
 
 from bilberryglade._ownership import ranges
 from bilberryglade_schema import fleet as messages
@@ -21,7 +24,7 @@
     version: int = -1
     #: Counts what became known of one version.
     change: int = 0
-    services: dict[str, tuple[Owned, ...]] = {}  # noqa: RUF012
+    services: abc.Mapping[str, tuple[Owned, ...]] = immutables.Map()
 
 
 def newer(known: Tables, other: Tables) -> Tables:
@@ -68,14 +71,7 @@
         'change': tables.change,
         'services': {
             service: [
-                {
-                    'first': owned.entry.first,
-                    'last': owned.entry.last,
-                    'target': owned.entry.owner.target,
-                    'born': owned.entry.owner.born,
-                    'fence': owned.entry.fence,
-                    'is_moving': owned.is_moving,
-                }
+                {**_plain(owned.entry), 'is_moving': owned.is_moving}
                 for owned in entries
             ]
             for service, entries in tables.services.items()
@@ -83,6 +79,39 @@
     }
 
 
+def to_entries(
+    found: abc.Iterable[ranges.Range],
+) -> list[messages.OwnedRange]:
+    """Returns ranges as they stand in a message."""
+    return [_plain(entry) for entry in sorted(found)]
+
+
+def entries_of(
+    entries: abc.Iterable[messages.OwnedRange],
+) -> tuple[ranges.Range, ...]:
+    """Returns the ranges of a message, with their fences as they are."""
+    return tuple(_owned(entry, -1).entry for entry in entries)
+
+
+def slots(tables: Tables) -> frozenset[tuple[str, ranges.Range]]:
+    """Returns every range with its service."""
+    return frozenset(
+        (service, owned.entry)
+        for service, entries in tables.services.items()
+        for owned in entries
+    )
+
+
+def _plain(entry: ranges.Range) -> messages.OwnedRange:
+    return {
+        'first': entry.first,
+        'last': entry.last,
+        'target': entry.owner.target,
+        'born': entry.owner.born,
+        'fence': entry.fence,
+    }
+
+
 def _owned(entry: messages.OwnedRange, version: int) -> Owned:
     fence = entry['fence'] or version + 1
     owner = ranges.Owner(entry['target'], entry['born'])
--- a/src/bilberryglade/_ownership/planning.py
+++ b/src/bilberryglade/_ownership/planning.py
@@ -55,16 +55,14 @@
     loads: ranges.Loads,
 ) -> dict[ranges.Owner, float]:
     """Returns the load of each candidate by weight."""
-    found = {candidate.owner: 0.0 for candidate in candidates}
+    weights = {one.owner: one.weight for one in candidates}
+    found: dict[ranges.Owner, float] = dict.fromkeys(weights, 0)
     for entry in table:
-        if entry.owner in found:
-            found[entry.owner] += ranges.load_of(
-                entry.first, entry.last, loads
-            )
-    return {
-        candidate.owner: found[candidate.owner] / candidate.weight
-        for candidate in candidates
-    }
+        weight = weights.get(entry.owner)
+        if weight is not None:
+            load = ranges.load_of(entry.first, entry.last, loads)
+            found[entry.owner] += load / weight
+    return found
 
 
 def _inherited(
@@ -82,31 +80,35 @@
     busy = owner_loads(table, candidates, loads)
     kept: list[ranges.Range] = []
     for entry in table:
+        reborn = lives.get(entry.owner.target)
         if entry.owner in alive:
             kept.append(entry)
-            continue
-        reborn = lives.get(entry.owner.target)
-        if reborn is not None:
+        elif reborn is None:
+            kept.extend(_bequeathed(entry, busy, alive, loads))
+        else:
             kept.append(
-                ranges.Range(
-                    entry.first, entry.last, reborn.owner, ranges.NEW_FENCE
-                )
+                entry._replace(owner=reborn.owner, fence=ranges.NEW_FENCE)
             )
-            continue
-        heirs = sorted(candidates, key=lambda heir: busy[heir.owner])
-        pieces = ranges.divide(
-            entry.first,
-            entry.last,
-            heirs[: _heirs_for(entry, loads)],
-            loads,
-        )
-        for piece in pieces:
-            load = ranges.load_of(piece.first, piece.last, loads)
-            busy[piece.owner] += load / alive[piece.owner].weight
-        kept.extend(pieces)
     return tuple(kept)
 
 
+def _bequeathed(
+    entry: ranges.Range,
+    busy: dict[ranges.Owner, float],
+    alive: abc.Mapping[ranges.Owner, ranges.Candidate],
+    loads: ranges.Loads,
+) -> ranges.Table:
+    """Divides a range over the least loaded, and counts it to them."""
+    heirs = sorted(alive.values(), key=lambda heir: busy[heir.owner])
+    pieces = ranges.divide(
+        entry.first, entry.last, heirs[: _heirs_for(entry, loads)], loads
+    )
+    for piece in pieces:
+        load = ranges.load_of(piece.first, piece.last, loads)
+        busy[piece.owner] += load / alive[piece.owner].weight
+    return pieces
+
+
 def _heirs_for(entry: ranges.Range, loads: ranges.Loads) -> int:
     load = ranges.load_of(entry.first, entry.last, loads)
     pieces = int(load / LEAST_HEAVY_LOAD) + 1
@@ -133,7 +135,7 @@
     loads: ranges.Loads,
 ) -> ranges.Table:
     busy = owner_loads(table, candidates, loads)
-    for giver in sorted(busy, key=lambda owner: -busy[owner]):
+    for giver in sorted(busy, key=busy.__getitem__, reverse=True):
         place = _largest(table, giver, loads)
         if place is None:
             continue
@@ -154,9 +156,7 @@
     heavy = max(busy, key=lambda owner: busy[owner])
     light = min(busy, key=lambda owner: busy[owner])
     weights = {one.owner: one.weight for one in candidates}
-    if busy[heavy] < max(
-        mean * HEAVY_RATIO, LEAST_HEAVY_LOAD / weights[heavy]
-    ):
+    if busy[heavy] < max(mean * HEAVY_RATIO, LEAST_HEAVY_LOAD / weights[heavy]):
         return table
     if busy[light] > mean * LIGHT_RATIO:
         return table
@@ -203,20 +203,9 @@
     The part without the busiest block goes to `taker`, so that a hot key
     stays where it is and what lies beside it moves away from it.
     """
-    first_block = ranges.block_of(entry.first)
-    last_block = ranges.block_of(entry.last)
     total = ranges.load_of(entry.first, entry.last, loads)
     wanted = total / 2 if most_load is None else min(most_load, total / 2)
-    passed = 0.0
-    best = first_block + 1
-    best_gap = float('inf')
-    for block in range(first_block + 1, last_block + 1):
-        passed += loads.get(block - 1, 0.0) + ranges.BASE_LOAD
-        moved = min(passed, total - passed)
-        gap = abs(moved - wanted)
-        if gap < best_gap:
-            best, best_gap = block, gap
-    border = best * ranges.BLOCK_KEYS
+    border = _border(entry, loads, total, wanted) * ranges.BLOCK_KEYS
     left = entry._replace(last=border - 1)
     right = entry._replace(first=border)
     left_load = ranges.load_of(left.first, left.last, loads)
@@ -224,3 +213,19 @@
         moved_left = left._replace(owner=taker, fence=ranges.NEW_FENCE)
         return (moved_left, right)
     return (left, right._replace(owner=taker, fence=ranges.NEW_FENCE))
+
+
+def _border(
+    entry: ranges.Range,
+    loads: ranges.Loads,
+    total: float,
+    wanted: float,
+) -> int:
+    """Returns the block at which the smaller part comes closest to `wanted`."""
+    first = ranges.block_of(entry.first)
+    passed: float = 0
+    gaps: dict[int, float] = {}
+    for block in range(first + 1, ranges.block_of(entry.last) + 1):
+        passed += loads.get(block - 1, 0) + ranges.BASE_LOAD
+        gaps[block] = abs(min(passed, total - passed) - wanted)
+    return min(gaps, key=gaps.__getitem__)
--- a/src/bilberryglade/_ownership/ranges.py
+++ b/src/bilberryglade/_ownership/ranges.py
@@ -47,18 +47,9 @@
 BASE_LOAD: typing.Final = 0.02
 
 
-def owner_of(table: Table, key: int) -> Range | None:
-    """Returns the range that holds `key`, or None if the table is empty."""
-    low, high = 0, len(table)
-    while low < high:
-        middle = (low + high) // 2
-        if table[middle].last < key:
-            low = middle + 1
-        else:
-            high = middle
-    if low == len(table) or table[low].first > key:
-        return None
-    return table[low]
+def is_new(entry: Range) -> bool:
+    """Tells whether the record that gives a range its fence is unwritten."""
+    return entry.fence == NEW_FENCE
 
 
 def block_of(key: int) -> int:
@@ -69,7 +60,7 @@
 def load_of(first: int, last: int, loads: Loads) -> float:
     """Returns the requests a second on the keys from `first` to `last`."""
     blocks = range(block_of(first), block_of(last) + 1)
-    return sum(loads.get(block, 0.0) + BASE_LOAD for block in blocks)
+    return sum(loads.get(block, 0) + BASE_LOAD for block in blocks)
 
 
 def divide(
@@ -83,20 +74,13 @@
     total_load = load_of(first, last, loads)
     pieces: list[Range] = []
     begin = first
-    passed = 0.0
-    due = 0.0
-    block = block_of(first)
-    last_block = block_of(last)
+    due: float = 0
     for place, candidate in enumerate(owners):
         due += total_load * candidate.weight / total_weight
-        blocks_left = len(owners) - place - 1
-        end = begin - 1
-        while block <= last_block - blocks_left and (
-            end < begin or passed < due or not blocks_left
-        ):
-            passed += loads.get(block, 0.0) + BASE_LOAD
-            end = min((block + 1) * BLOCK_KEYS - 1, last)
-            block += 1
+        others = len(owners) - place - 1
+        end = _piece_end(
+            begin, last, due - _load_before(pieces, loads), others, loads
+        )
         if end < begin:
             break
         pieces.append(Range(begin, end, candidate.owner, NEW_FENCE))
@@ -104,12 +88,34 @@
     return tuple(pieces)
 
 
-def with_fence(table: Table, fence: int) -> Table:
-    """Gives new ranges their fence."""
-    return tuple(
-        entry._replace(fence=fence) if entry.fence == NEW_FENCE else entry
-        for entry in table
-    )
+def _piece_end(
+    begin: int,
+    last: int,
+    load: float,
+    others: int,
+    loads: Loads,
+) -> int:
+    """Returns the last key of a piece with `load`, a block at least.
+
+    One block is left for each of `others`; the last piece takes all.
+    """
+    if not others:
+        return last
+    most = block_of(last) - others
+    block = block_of(begin)
+    if block > most:
+        return min((block + 1) * BLOCK_KEYS - 1, last)
+    passed = loads.get(block, 0) + BASE_LOAD
+    while block < most and passed < load:
+        block += 1
+        passed += loads.get(block, 0) + BASE_LOAD
+    return (block + 1) * BLOCK_KEYS - 1
+
+
+def _load_before(pieces: abc.Sequence[Range], loads: Loads) -> float:
+    if not pieces:
+        return 0
+    return load_of(pieces[0].first, pieces[-1].last, loads)
 
 
 def merged(table: Table) -> Table:
--- a/src/bilberryglade/_routing/splitting.py
+++ b/src/bilberryglade/_routing/splitting.py
@@ -20,16 +20,24 @@
     """
     total = sum(part.weight for part in route.parts)
     marks: list[float] = []
-    passed = 0.0
+    passed: float = 0
     for part in route.parts:
         share = part.weight / total
         begins = passed <= offset < passed + share
-        marks.append((0.5 if begins else 0.0) - share * 0.5)
+        lead = 0.5 if begins else 0
+        marks.append(lead - share / 2)
         passed += share
     return Turns(route.parts, tuple(marks))
 
 
-def choose(turns: Turns) -> tuple[Turns, str]:
+class Chosen(typing.NamedTuple):
+    """The service of one request, and the turns after it."""
+
+    turns: Turns
+    service: str
+
+
+def choose(turns: Turns) -> Chosen:
     """Returns the turns after one more request, and its service."""
     total = sum(part.weight for part in turns.parts)
     grown = [
@@ -38,5 +46,7 @@
     ]
     place = max(range(len(grown)), key=grown.__getitem__)
     grown[place] -= 1
-    chosen = turns.parts[place].service
-    return turns._replace(credits=tuple(grown)), chosen
+    return Chosen(
+        turns._replace(credits=tuple(grown)),
+        turns.parts[place].service,
+    )
--- a/src/bilberryglade/_targets/choosing.py
+++ b/src/bilberryglade/_targets/choosing.py
@@ -19,6 +19,8 @@
 COLD_SPACING_SECONDS: typing.Final = 1.06
 #: Part of the time left that a request may be expected to wait.
 WAITING_PART: typing.Final = 0.5
+#: Work takes up to so many times its usual time in most cases.
+WORK_FACTOR: typing.Final = 1.3
 #: Bounds of the time after which a refused caller may come back.
 LEAST_RETRY_SECONDS: typing.Final = 0.08
 MOST_RETRY_SECONDS: typing.Final = 0.6
@@ -78,10 +80,10 @@
     is late already gets what is left of its caller's time.
     """
     work = standing.typical_seconds(known)
-    in_time = demand.aim_left - work * 1.3
+    in_time = demand.aim_left - work * WORK_FACTOR
     if in_time > 0:
         return in_time
-    return max((demand.time_left - work) * WAITING_PART, 0.0)
+    return max((demand.time_left - work) * WAITING_PART, 0)
 
 
 def is_cold(view: View, now: float) -> bool:
@@ -115,9 +117,7 @@
         return Refusal(outcomes.Reason.no_owner, MOST_RETRY_SECONDS)
     if any(is_cold(view, now) for view in views):
         return Refusal(outcomes.Reason.cold, LEAST_RETRY_SECONDS * 4)
-    return Refusal(
-        outcomes.Reason.target_unreachable, LEAST_RETRY_SECONDS * 4
-    )
+    return Refusal(outcomes.Reason.target_unreachable, LEAST_RETRY_SECONDS * 4)
 
 
 def _retry_in(seconds: float) -> float:
--- a/src/bilberryglade/_targets/standing.py
+++ b/src/bilberryglade/_targets/standing.py
@@ -16,6 +16,8 @@
 #: First pause after a failed exchange, and the longest one.
 PAUSE_SECONDS: typing.Final = 0.3
 LONGEST_PAUSE_SECONDS: typing.Final = 2.0
+#: Slow-down of the work at a target whose places are all taken.
+BUSY_WEIGHT: typing.Final = 0.3
 #: Seconds after a refused connection in which a target may come back cold.
 DOUBT_SECONDS: typing.Final = 3.0
 #: Share of failed answers that doubles the expected cost of a target.
@@ -76,7 +78,7 @@
     now: float,
 ) -> Standing:
     """Takes in a whole answer that came after `seconds`."""
-    failing = _mixed(standing.failing, 0.0 if is_good else 1.0)
+    failing = _mixed(standing.failing, 0 if is_good else 1)
     known = standing._replace(failing=failing, losses=0, paused_until=0)
     if report is None:
         return known._replace(seconds=_mixed_seconds(known, seconds))
@@ -149,7 +151,7 @@
 def cost(standing: Standing, places: int, now: float) -> float:
     """Returns the time that one more request is expected to take in all."""
     busy = load(standing, now) / places
-    usual = typical_seconds(standing) * (1 + busy * 0.3)
+    usual = typical_seconds(standing) * (1 + busy * BUSY_WEIGHT)
     penalty = 1 + FAILURE_WEIGHT * standing.failing
     return (usual + waiting_seconds(standing, places, now)) * penalty
 
--- a/src/bilberryglade/platform/catalogues.py
+++ b/src/bilberryglade/platform/catalogues.py
@@ -39,18 +39,21 @@
             if part.service not in services:
                 raise ValueError(f'{route.name}: no service {part.service}')
         routes.setdefault(route.host, {})[route.prefix] = route
-    holders = _rows(config.get('tenants', EMPTY), provider.TenantRow)
+    holders = _rows(config.get('tenants', _empty()), provider.TenantRow)
     return catalogue.Catalogue(
         version=config['config_version'],
         routes=routes,
         services=services,
         organisations={row['name']: _organisation(row) for row in holders},
-        api_keys={key: row['name'] for row in holders for key in row['api_keys']},
+        api_keys={
+            key: row['name'] for row in holders for key in row['api_keys']
+        },
         caller_bounds=_caller_bounds(config.get('limits', {})),
     )
 
 
-EMPTY: typing.Final[provider.Columns] = {'columns': [], 'rows': []}
+def _empty() -> provider.Columns:
+    return {'columns': [], 'rows': []}
 
 
 def _rows(table: provider.Columns, kind: type[Row]) -> list[Row]:
@@ -100,8 +103,7 @@
             raise ValueError(f'{row["name"]}: no service')
         return (catalogue.Part(service, 1.0),)
     parts = tuple(
-        catalogue.Part(part['service'], float(part['weight']))
-        for part in split
+        catalogue.Part(part['service'], float(part['weight'])) for part in split
     )
     if sum(part.weight for part in parts) <= 0:
         raise ValueError(f'{row["name"]}: no weight')
--- a/src/bilberryglade/platform/exchange.py
+++ b/src/bilberryglade/platform/exchange.py
@@ -12,7 +12,6 @@
 MARGIN_SECONDS: typing.Final = 0.03
 MISDIRECTED_STATUS: typing.Final = 421
 FULL_STATUS: typing.Final = 503
-OK_STATUSES: typing.Final = range(200, 300)
 PERCENT: typing.Final = 100
 
 
@@ -63,9 +62,7 @@
     is_marked = bool(headers.find(answer.headers, headers.SIGNATURE))
     is_encoded = bool(headers.find(answer.headers, headers.CONTENT_ENCODING))
     if echoed != (request_id,) or not is_marked or is_encoded:
-        return sends.Sent(
-            outcomes.Unknown(outcomes.Reason.answer_lost), report
-        )
+        return sends.Sent(outcomes.Unknown(outcomes.Reason.answer_lost), report)
     return sends.Sent(answer, report)
 
 
--- a/src/bilberryglade/platform/folds.py
+++ b/src/bilberryglade/platform/folds.py
@@ -37,7 +37,7 @@
 ) -> knowledge.Knowledge:
     """Takes in targets' entries; what names no target is left out."""
     listed = known.directory
-    keep_until = 0.0
+    keep_until: float = 0
     if reading.gap > directory.GAP_SECONDS:
         keep_until = reading.read_at + directory.RETURN_SECONDS
     for record in reading.batch.records:
@@ -58,9 +58,7 @@
         listed = directory.put(listed, decoded.ok_value)
     if reading.batch.is_whole:
         names = frozenset(record.key for record in reading.batch.records)
-        listed = directory.retain(
-            listed, names, reading.batch.end, keep_until
-        )
+        listed = directory.retain(listed, names, reading.batch.end, keep_until)
     return known._replace(directory=listed)
 
 
--- a/src/bilberryglade/platform/front.py
+++ b/src/bilberryglade/platform/front.py
@@ -44,13 +44,15 @@
         headers.ROUTING_KEY,
     ),
 )
+TOO_LARGE_STATUS: typing.Final = 413
+MALFORMED_STATUS: typing.Final = 400
 #: Statuses of refusals; every other reason is 503, which promises that the
 #: request has not run.
 REFUSALS: typing.Final = {  # noqa: WPS407
-    outcomes.Reason.bad_request: 400,
+    outcomes.Reason.bad_request: MALFORMED_STATUS,
     outcomes.Reason.no_credentials: 401,
     outcomes.Reason.no_route: 404,
-    outcomes.Reason.too_large: 413,
+    outcomes.Reason.too_large: TOO_LARGE_STATUS,
     outcomes.Reason.over_rate: 429,
 }
 NOT_RUN_STATUS: typing.Final = 503
@@ -84,10 +86,10 @@
         arrived_at = clock.now()
         body = await _body(request, self.bounds().body_bytes)
         if body is None:
-            return responses.Response(status_code=413)
+            return responses.Response(status_code=TOO_LARGE_STATUS)
         incoming = incoming_of(request, body, arrived_at)
         if incoming is None:
-            return responses.Response(status_code=400)
+            return responses.Response(status_code=MALFORMED_STATUS)
         delivered = await self._run(request, incoming)
         if delivered is None:
             gone = router.Delivered(
--- a/src/bilberryglade/platform/records.py
+++ b/src/bilberryglade/platform/records.py
@@ -39,7 +39,7 @@
     while place < len(raw):
         if place + LENGTH.size > len(raw):
             raise ValueError('a length is cut short')
-        (size,) = LENGTH.unpack_from(raw, place)
+        size = LENGTH.unpack_from(raw, place)[0]
         place += LENGTH.size
         if place + size > len(raw):
             raise ValueError('a record is cut short')
--- /dev/null
+++ b/src/bilberryglade_stand_ins/owning_target.py
@@ -0,0 +1,140 @@
+"""A target of the platform: leases on keys with fences, requests, faults."""
+
+import asyncio
+import time
+import typing
+
+from starlette import applications, requests, responses, routing
+
+LAST_KEY: typing.Final = 65_535
+CONFLICT: typing.Final = 409
+MISDIRECTED: typing.Final = 421
+MILLISECONDS: typing.Final = 1000
+
+
+class Held(typing.NamedTuple):
+    """A lease that was taken in."""
+
+    first: int
+    last: int
+    fence: int
+    #: Monotonic seconds.
+    until: float
+
+
+class Run(typing.NamedTuple):
+    """A request that this target has begun."""
+
+    request_id: str
+    key: int | None
+    organisation: str
+    at: float
+
+
+class OwningTarget:
+    """One life of a target."""
+
+    def __init__(self, name: str, *, is_partitioned: bool) -> None:
+        """Holds no keys."""
+        self.name = name
+        self.is_partitioned = is_partitioned
+        self.held: list[Held] = []
+        #: Highest fence seen by key range, as pairs of range and fence.
+        self.fences: list[Held] = []
+        self.runs: list[Run] = []
+        self.work_seconds = 0.01
+        #: Status of answers to requests.
+        self.status = 200
+        #: Header that is left out of answers; none if empty.
+        self.without_header = ''
+        #: Orders to come that are left unanswered and carried out later.
+        self.late_orders: float = 0
+
+    def holds(self, key: int) -> bool:
+        """Tells whether a lease on `key` runs."""
+        now = time.monotonic()
+        return any(
+            held.first <= key <= held.last and held.until > now
+            for held in self.held
+        )
+
+    async def grant(self, request: requests.Request) -> responses.Response:
+        """Takes in a lease unless a higher fence was seen."""
+        order = await request.json()
+        first, last, fence = order['from'], order['to'], order['fence']
+        seen = [one for one in self.fences if _overlaps(one, first, last)]
+        if any(one.fence > fence for one in seen):
+            return responses.Response(status_code=CONFLICT)
+        seconds = float(order['hold_time'].removesuffix('ms')) / MILLISECONDS
+        held = Held(first, last, fence, time.monotonic() + seconds)
+        self.fences.append(held)
+        self.held = _without(self.held, first, last)
+        self.held.append(held)
+        return responses.Response()
+
+    async def release(self, request: requests.Request) -> responses.Response:
+        """Gives keys back."""
+        order = await request.json()
+        first, last = order['from'], order['to']
+        self.held = _without(self.held, first, last)
+        self.fences.append(Held(first, last, order['fence'], 0))
+        word = f'{self.name}-{first}'
+        return responses.Response(headers={'x-handover': word})
+
+    async def run(self, request: requests.Request) -> responses.Response:
+        """Runs a request, or says that it does not."""
+        named = request.headers.get('x-target-instance', self.name)
+        text = request.headers.get('x-shard-key')
+        key = int(text) if text else None
+        lacks = self.is_partitioned and (key is None or not self.holds(key))
+        if named != self.name or lacks:
+            return responses.Response(
+                status_code=MISDIRECTED, headers={'x-not-executed': '1'}
+            )
+        request_id = request.headers['x-request-id']
+        organisation = request.headers.get('x-tenant-id', '')
+        self.runs.append(Run(request_id, key, organisation, time.monotonic()))
+        await asyncio.sleep(self.work_seconds)
+        headers = {
+            'x-request-id': request_id,
+            'x-response-signature': f'{self.name}.1',
+            'x-server-load': '1,0,2,100',
+        }
+        headers.pop(self.without_header, None)
+        return responses.Response(
+            f'{self.name} ran it', self.status, headers=headers
+        )
+
+    def application(self) -> applications.Starlette:
+        """Returns the HTTP application."""
+        return applications.Starlette(
+            routes=[
+                routing.Route(
+                    '/bilberryglade/grant', self.grant, methods=['POST']
+                ),
+                routing.Route(
+                    '/bilberryglade/release', self.release, methods=['POST']
+                ),
+                routing.Route(
+                    '/{path:path}', self.run, methods=['GET', 'POST', 'PUT']
+                ),
+            ],
+        )
+
+
+def _overlaps(held: Held, first: int, last: int) -> bool:
+    return held.first <= last and held.last >= first
+
+
+def _without(known: list[Held], first: int, last: int) -> list[Held]:
+    """Cuts the keys from `first` to `last` out of leases."""
+    left: list[Held] = []
+    for held in known:
+        if not _overlaps(held, first, last):
+            left.append(held)
+            continue
+        if held.first < first:
+            left.append(held._replace(last=first - 1))
+        if held.last > last:
+            left.append(held._replace(first=last + 1))
+    return left
--- /dev/null
+++ b/src/bilberryglade_stand_ins/store_service.py
@@ -0,0 +1,99 @@
+"""Serves the store's model over the published protocol, with faults."""
+
+import asyncio
+import typing
+
+from starlette import applications, requests, responses, routing
+
+from bilberryglade_stand_ins import store_model
+
+POLL_SECONDS: typing.Final = 0.01
+PREFIX: typing.Final = '/bilberryglade'
+REFUSED_STATUS: typing.Final = 503
+
+
+class Faults:
+    """What goes wrong; tests set it while the store runs."""
+
+    def __init__(self) -> None:
+        """Nothing goes wrong."""
+        #: Every call is refused with this status; 0 for none.
+        self.refuses_with = 0
+        #: Appends to come that are carried out and not answered.
+        self.unanswered_appends = 0
+        #: Seconds by which every answer is late.
+        self.delay: float = 0
+
+
+class StoreService:
+    """The store as a process of its own would be."""
+
+    def __init__(self, model: store_model.StoreModel) -> None:
+        """Serves `model`."""
+        self.model = model
+        self.faults = Faults()
+        #: Calls by name.
+        self.calls: dict[str, int] = {}
+
+    async def append(self, request: requests.Request) -> responses.Response:
+        """Appends records."""
+        refusal = await self._refusal('append')
+        if refusal is not None:
+            return refusal
+        query = dict(request.query_params)
+        body = await request.body()
+        if query['topic'] in store_model.RESERVED:
+            return responses.Response(status_code=store_model.FORBIDDEN)
+        status, answer = self.model.partition(query).append(query, body)
+        if self.faults.unanswered_appends and body:
+            self.faults.unanswered_appends -= 1
+            await asyncio.sleep(3600)
+        return responses.JSONResponse(answer, status)
+
+    async def read(self, request: requests.Request) -> responses.Response:
+        """Reads records, waiting for the first one."""
+        refusal = await self._refusal('read')
+        if refusal is not None:
+            return refusal
+        query = dict(request.query_params)
+        start = int(query['from'])
+        partition = self.model.partition(query)
+        loop = asyncio.get_running_loop()
+        until = loop.time() + int(query.get('wait_ms', '0')) / 1000
+        while partition.end <= start and loop.time() < until:
+            await asyncio.sleep(POLL_SECONDS)
+        raw = partition.read(start)
+        if raw is None:
+            return responses.JSONResponse(
+                {'first': partition.first}, store_model.GONE
+            )
+        return responses.Response(raw)
+
+    async def newest(self, request: requests.Request) -> responses.Response:
+        """Returns the newest record of each key."""
+        refusal = await self._refusal('newest')
+        if refusal is not None:
+            return refusal
+        query = dict(request.query_params)
+        partition = self.model.partition(query)
+        return responses.JSONResponse(partition.newest(query.get('after', '')))
+
+    def application(self) -> applications.Starlette:
+        """Returns the HTTP application."""
+        return applications.Starlette(
+            routes=[
+                routing.Route(
+                    f'{PREFIX}/log-append', self.append, methods=['POST']
+                ),
+                routing.Route(f'{PREFIX}/log-read', self.read),
+                routing.Route(f'{PREFIX}/log-newest', self.newest),
+            ],
+        )
+
+    async def _refusal(self, name: str) -> responses.Response | None:
+        self.calls[name] = self.calls.get(name, 0) + 1
+        if self.faults.delay:
+            await asyncio.sleep(self.faults.delay)
+        if self.faults.refuses_with:
+            return responses.Response(status_code=self.faults.refuses_with)
+        return None
