Orders end with their connection and name their target; releases have fences of their own

Ruled out: plans with two owners (the tables were whole). Now connections to targets are reset, orders name the target, a target whose order failed gets the next one only after a newer entry, and releases use the fence between two records.

--- /dev/null
+++ b/src/bilberryglade/_limits/tests/test_parts.py
@@ -0,0 +1,102 @@
+"""No organisation gets more than its rate and burst, wherever it asks."""
+
+import itertools
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from bilberryglade._limits import parts
+
+INSTANCES: typing.Final = 12
+QUOTA: typing.Final = parts.Quota(rate=40, burst=40)
+#: Single tokens that each bucket can save up whatever its part is.
+ROUNDING: typing.Final = INSTANCES + 1
+
+
+class Ask(typing.NamedTuple):
+    """Requests at one instance after a pause."""
+
+    pause: float
+    instance: int
+    requests: int
+    extra: int
+
+
+asks = strategies.lists(
+    strategies.builds(
+        Ask,
+        strategies.floats(0, 0.2),
+        strategies.integers(0, INSTANCES - 1),
+        strategies.integers(1, 20),
+        strategies.integers(0, 12),
+    ),
+    max_size=120,
+)
+
+
+def admitted_in(sequence: list[Ask]) -> list[float]:
+    """Returns the times at which tokens were given."""
+    own = parts.even_flow(QUOTA, INSTANCES)
+    pool = parts.pool_flow(QUOTA)
+    buckets = [parts.Bucket(own.room, 0) for _ in range(INSTANCES)]
+    pooled = parts.Bucket(pool.room, 0)
+    now: float = 0
+    given: list[float] = []
+    for ask in sequence:
+        now += ask.pause
+        for _ in range(ask.requests):
+            taken = parts.take(buckets[ask.instance], own, 1, 0, now)
+            buckets[ask.instance] = taken.bucket
+            if not taken.amount:
+                taken = parts.take(pooled, pool, 1, ask.extra, now)
+                pooled = taken.bucket
+            given.extend(itertools.repeat(now, taken.amount))
+    return given
+
+
+class BoundTests(unittest.TestCase):
+    """The sum over all instances."""
+
+    @hypothesis.given(asks)
+    @hypothesis.settings(max_examples=150, deadline=None)
+    def test_any_window(self, sequence: list[Ask]) -> None:
+        """Any span gets its rate and burst, and the rounding, at most."""
+        given = admitted_in(sequence)
+        places = range(len(given))
+        for begin, end in itertools.combinations(places, 2):
+            span = given[end] - given[begin]
+            most = QUOTA.rate * span + QUOTA.burst + ROUNDING
+            self.assertLessEqual(end - begin + 1, most + 1e-6)
+
+
+class ServiceTests(unittest.TestCase):
+    """Requests within the rate are served."""
+
+    def test_one_instance_has_it_all(self) -> None:
+        """All demand at one instance gets its part and the whole pool."""
+        sequence = [Ask(0.05, 0, 1, 0) for _ in range(400)]
+        self.assertGreater(len(admitted_in(sequence)), 380)
+
+    def test_without_pool(self) -> None:
+        """Even demand is served to nearly half the rate by the own parts."""
+        own = parts.even_flow(QUOTA, INSTANCES)
+        self.assertAlmostEqual(
+            own.rate * INSTANCES, QUOTA.rate * parts.EVEN_PART
+        )
+
+    def test_ahead_of_need(self) -> None:
+        """Tokens ahead of need leave half of the pool to the others."""
+        pool = parts.pool_flow(QUOTA)
+        full = parts.Bucket(pool.room, 0)
+        taken = parts.take(full, pool, 1, 1000, 0)
+        self.assertGreaterEqual(taken.bucket.level, pool.room / 2 - 1)
+
+    def test_time_to_come_back(self) -> None:
+        """A refusal says when there is a token."""
+        flow = parts.Flow(rate=2, room=1)
+        taken = parts.take(parts.Bucket(0, 0), flow, 1, 0, 0)
+        self.assertEqual(taken.amount, 0)
+        again = parts.take(taken.bucket, flow, 1, 0, taken.retry_seconds + 1e-6)
+        self.assertEqual(again.amount, 1)
--- a/src/bilberryglade/_ownership/holds.py
+++ b/src/bilberryglade/_ownership/holds.py
@@ -6,6 +6,7 @@
 """
 
 import typing
+from collections import abc
 
 from bilberryglade._ownership import ranges
 
@@ -117,7 +118,7 @@
 def in_the_way(
     holds: tuple[Hold, ...],
     entry: ranges.Range,
-    lives: dict[str, int],
+    lives: abc.Mapping[str, int],
     now: float,
 ) -> tuple[Hold, ...]:
     """Returns the holds of others that keep a range from its new owner.
@@ -135,7 +136,7 @@
     )
 
 
-def is_held(hold: Hold, lives: dict[str, int], now: float) -> bool:
+def is_held(hold: Hold, lives: abc.Mapping[str, int], now: float) -> bool:
     """Tells whether the target may hold the keys at `now`."""
     born = lives.get(hold.owner.target, hold.owner.born)
     if born > hold.owner.born:
@@ -147,7 +148,7 @@
 
 def without_ended(
     holds: tuple[Hold, ...],
-    lives: dict[str, int],
+    lives: abc.Mapping[str, int],
     now: float,
 ) -> tuple[Hold, ...]:
     """Drops what no target can hold any more."""
--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -68,6 +68,9 @@
         self.fenced: set[Slot] = set()
         #: Where each life of a target was reached last.
         self.addresses: dict[ranges.Owner, str] = {}
+        #: Offset of the entry of each life whose last order failed: it may
+        #: have started again until a later entry says that it has not.
+        self.doubted: dict[ranges.Owner, int] = {}
         #: Seconds from which no order to a life of a target was confirmed.
         self.failing_since: dict[ranges.Owner, float] = {}
 
@@ -171,8 +174,10 @@
         target = self._target_of(entry.owner)
         if target is None or not self.lease.holds:
             return
+        if self.doubted.get(entry.owner, -1) >= target.offset:
+            return
         if not self.blocking(service, entry):
-            await self._grant(service, entry, target.address)
+            await self._grant(service, entry, target)
 
     async def _release(
         self,
@@ -189,9 +194,11 @@
         lease = leases.Lease(
             first=max(hold.first, entry.first),
             last=min(hold.last, entry.last),
-            fence=entry.fence,
+            fence=ranges.release_fence(entry),
+        )
+        answer = await self.orders.release(
+            leases.Holder(hold.owner.target, address), lease, RELEASE_SECONDS
         )
-        answer = await self.orders.release(address, lease, RELEASE_SECONDS)
         if isinstance(answer, result.Err):
             _note('release', entry, hold.owner, answer.err_value)
             return
@@ -206,14 +213,15 @@
         self,
         service: str,
         entry: ranges.Range,
-        address: str,
+        target: directory.Target,
     ) -> None:
-        self.addresses[entry.owner] = address
+        self.addresses[entry.owner] = target.address
         seconds = self._lease_seconds()
         sent_at = clock.now()
         before = self.holds.get(service, ())
+        arrives_by = sent_at + orders.GRANT_SECONDS
         self.holds[service] = leased.ordered(
-            before, entry, leased.lease_end(sent_at, seconds)
+            before, entry, leased.lease_end(arrives_by, seconds)
         )
         lease = leases.Lease(
             entry.first,
@@ -222,10 +230,14 @@
             seconds,
             leased.handover(before, entry),
         )
-        answer = await self.orders.grant(address, lease)
+        answer = await self.orders.grant(
+            leases.Holder(target.name, target.address), lease
+        )
         if isinstance(answer, result.Err):
+            self.doubted[entry.owner] = target.offset
             self._take_failure((service, entry), before, answer.err_value)
             return
+        self.doubted.pop(entry.owner, None)
         self.holds[service] = leased.confirmed(
             self.holds[service], entry, leased.doubt(before, entry)
         )
--- a/src/bilberryglade/_ownership/owners.py
+++ b/src/bilberryglade/_ownership/owners.py
@@ -52,8 +52,8 @@
 def from_message(message: messages.Assignment, version: int) -> Tables:
     """Returns the tables in a message or record; new fences get `version`.
 
-    A record is written before its offset is known. Its new ranges have no
-    fence then, and the fence is one above the offset so that it is never 0.
+    A record is written before its offset is known; its new ranges have no
+    fence then.
     """
     services = {
         service: tuple(_owned(entry, version) for entry in entries)
@@ -113,7 +113,7 @@
 
 
 def _owned(entry: messages.OwnedRange, version: int) -> Owned:
-    fence = entry['fence'] or version + 1
+    fence = entry['fence'] or ranges.fence_at(version)
     owner = ranges.Owner(entry['target'], entry['born'])
     return Owned(
         ranges.Range(entry['first'], entry['last'], owner, fence),
--- a/src/bilberryglade/_ownership/ranges.py
+++ b/src/bilberryglade/_ownership/ranges.py
@@ -14,6 +14,7 @@
 BLOCKS: typing.Final = (leases.LAST_KEY + 1) // BLOCK_KEYS
 #: Fence of a range whose record has not been written yet.
 NEW_FENCE: typing.Final = 0
+FENCES_PER_RECORD: typing.Final = 2
 
 
 class Owner(typing.NamedTuple):
@@ -52,6 +53,23 @@
     return entry.fence == NEW_FENCE
 
 
+def fence_at(offset: int) -> int:
+    """Returns the fence of ranges that the record at `offset` changed.
+
+    Every second number is left for releases.
+    """
+    return offset * FENCES_PER_RECORD + FENCES_PER_RECORD
+
+
+def release_fence(entry: Range) -> int:
+    """Returns the fence with which earlier owners give a range back.
+
+    It is above theirs, so that a late order of them is refused, and below
+    the new owner's.
+    """
+    return entry.fence - 1
+
+
 def block_of(key: int) -> int:
     """Returns the block of a key."""
     return key // BLOCK_KEYS
--- /dev/null
+++ b/src/bilberryglade/_ownership/tests/test_holds.py
@@ -0,0 +1,112 @@
+"""Leases that targets may hold: when keys are free for the next owner."""
+
+import unittest
+
+import hypothesis
+import immutables
+from hypothesis import strategies
+
+from bilberryglade._ownership import holds, ranges
+
+OLD = ranges.Owner('old', 1)
+NEW = ranges.Owner('new', 1)
+OLD_RANGE = ranges.Range(100, 199, OLD, 2)
+NEW_RANGE = ranges.Range(150, 249, NEW, 4)
+LIVES = immutables.Map({'old': 1, 'new': 1})
+spans = strategies.tuples(
+    strategies.integers(0, 99), strategies.integers(0, 99)
+)
+
+
+class FreeTests(unittest.TestCase):
+    """When a range may be granted to its new owner."""
+
+    def setUp(self) -> None:
+        """The old owner was granted its range, and confirmed it."""
+        ordered = holds.ordered((), OLD_RANGE, until=50)
+        self.held = holds.confirmed(ordered, OLD_RANGE, before=0)
+
+    def blocked(self, known: tuple[holds.Hold, ...], now: float) -> bool:
+        """Tells whether the new owner has to wait."""
+        return bool(holds.in_the_way(known, NEW_RANGE, LIVES, now))
+
+    def test_time(self) -> None:
+        """A lease that nobody released is waited for."""
+        self.assertTrue(self.blocked(self.held, 49))
+        self.assertFalse(self.blocked(self.held, 50))
+
+    def test_release(self) -> None:
+        """A confirmed release frees the released keys alone."""
+        known = holds.released(self.held, self.held[0], NEW_RANGE, 'word')
+        self.assertFalse(self.blocked(known, 10))
+        rest = ranges.Range(100, 149, NEW, 6)
+        self.assertTrue(holds.in_the_way(known, rest, LIVES, 10))
+
+    def test_unanswered_order(self) -> None:
+        """An order that may come late outlasts a release."""
+        known = holds.ordered(self.held, OLD_RANGE, until=60)
+        known = holds.released(known, known[0], OLD_RANGE, '')
+        self.assertTrue(self.blocked(known, 59))
+        self.assertFalse(self.blocked(known, 60))
+
+    def test_order_never_sent(self) -> None:
+        """An order of which no byte went out leaves what was before."""
+        known = holds.ordered(self.held, OLD_RANGE, until=60)
+        known = holds.withdrawn(known, self.held, OLD_RANGE)
+        self.assertEqual(known, self.held)
+
+    def test_new_life(self) -> None:
+        """A target that started again holds nothing of before."""
+        lives = LIVES.set('old', 2)
+        self.assertFalse(holds.in_the_way(self.held, NEW_RANGE, lives, 10))
+
+    def test_missing_entry(self) -> None:
+        """A target that is not listed may well live and hold its keys."""
+        self.assertTrue(holds.in_the_way(self.held, NEW_RANGE, {}, 10))
+
+    def test_same_owner(self) -> None:
+        """Nobody stands in its own way."""
+        own = OLD_RANGE._replace(fence=8)
+        self.assertFalse(holds.in_the_way(self.held, own, LIVES, 10))
+
+    def test_handover(self) -> None:
+        """Warm state goes on only if one owner released the whole range."""
+        inner = ranges.Range(120, 180, NEW, 4)
+        known = holds.released(self.held, self.held[0], inner, 'word')
+        self.assertEqual(holds.handover(known, inner), 'word')
+        self.assertEqual(holds.handover(known, NEW_RANGE), '')
+
+
+class ReleaseTests(unittest.TestCase):
+    """Parts of a lease that are released."""
+
+    @hypothesis.given(spans, spans)
+    def test_no_key_is_lost(
+        self,
+        lease: tuple[int, int],
+        part_span: tuple[int, int],
+    ) -> None:
+        """Pieces cover the lease, and just the overlap is released."""
+        first, last = sorted(lease)
+        low, high = sorted(part_span)
+        whole = ranges.Range(first, last, OLD, 2)
+        part = ranges.Range(low, high, NEW, 4)
+        known = holds.ordered((), whole, until=50)
+        if low > last or high < first:
+            return
+        pieces = holds.released(known, known[0], part, '')
+        keys = sorted(
+            key
+            for piece in pieces
+            for key in range(piece.first, piece.last + 1)
+        )
+        self.assertEqual(keys, list(range(first, last + 1)))
+        freed = {
+            key
+            for piece in pieces
+            if piece.is_released
+            for key in range(piece.first, piece.last + 1)
+        }
+        self.assertEqual(
+            freed, set(range(max(first, low), min(last, high) + 1))
+        )
--- /dev/null
+++ b/src/bilberryglade/_ownership/tests/test_ranges.py
@@ -0,0 +1,168 @@
+"""Tables cover every key once, whatever happens to the owners."""
+
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from bilberryglade._ownership import planning, ranges
+from bilberryglade._values import leases
+
+
+def candidates(names: typing.Iterable[str]) -> list[ranges.Candidate]:
+    """Returns candidates of equal weight, in their first life."""
+    return [
+        ranges.Candidate(ranges.Owner(name, 1), weight=2.0) for name in names
+    ]
+
+
+def is_whole(table: ranges.Table) -> bool:
+    """Tells whether a table covers every key once."""
+    due = 0
+    for entry in table:
+        if entry.first != due or entry.last < entry.first:
+            return False
+        due = entry.last + 1
+    return due == leases.LAST_KEY + 1
+
+
+def numbered(table: ranges.Table, fence: int) -> ranges.Table:
+    """Returns a table as it is after its record was written."""
+    return tuple(
+        entry._replace(fence=fence) if ranges.is_new(entry) else entry
+        for entry in table
+    )
+
+
+class Round(typing.NamedTuple):
+    """Targets that are there, and the load on blocks of keys."""
+
+    present: frozenset[str]
+    loads: dict[int, float]
+
+
+names = strategies.frozensets(
+    strategies.sampled_from([f't{number}' for number in range(9)]),
+    max_size=9,
+)
+load_maps = strategies.dictionaries(
+    strategies.integers(0, ranges.BLOCKS - 1),
+    strategies.floats(0.1, 90),
+    max_size=12,
+)
+
+
+class PlanTests(unittest.TestCase):
+    """Plans over changing targets and loads."""
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.builds(Round, names, load_maps), max_size=12
+        ),
+    )
+    @hypothesis.settings(max_examples=120, deadline=None)
+    def test_every_key_has_one_owner(
+        self,
+        rounds: list[Round],
+    ) -> None:
+        """Keys stay covered, and only candidates own them."""
+        table: ranges.Table = ()
+        for number, (present, loads) in enumerate(rounds):
+            found = candidates(sorted(present))
+            table = planning.plan(table, found, loads, may_balance=True).table
+            table = numbered(table, number + 1)
+            if not table:
+                self.assertFalse(found)
+                continue
+            self.assertTrue(is_whole(table))
+            if found:
+                owners = {one.owner for one in found}
+                self.assertLessEqual({one.owner for one in table}, owners)
+
+    def test_nothing_moves_without_reason(self) -> None:
+        """Even load and the same targets leave a table as it is."""
+        found = candidates('abcd')
+        table = planning.plan((), found, {}, may_balance=False).table
+        again = planning.plan(numbered(table, 1), found, {}, may_balance=True)
+        self.assertFalse(again.is_changed)
+
+    def test_a_loss_moves_its_keys_alone(self) -> None:
+        """Keys of the targets that stay do not change hands."""
+        table = numbered(
+            planning.plan((), candidates('abcd'), {}, may_balance=False).table,
+            1,
+        )
+        after = planning.plan(
+            table, candidates('abc'), {}, may_balance=False
+        ).table
+        kept = [one for one in table if one.owner.target != 'd']
+        for entry in kept:
+            with self.subTest(entry=entry):
+                self.assertIn(entry, after)
+
+    def test_a_new_life_needs_a_new_fence(self) -> None:
+        """A target that started again keeps its keys under a new fence."""
+        table = numbered(
+            planning.plan((), candidates('ab'), {}, may_balance=False).table, 7
+        )
+        reborn = [
+            ranges.Candidate(ranges.Owner('a', 2), 2.0),
+            *candidates('b'),
+        ]
+        after = planning.plan(table, reborn, {}, may_balance=False).table
+        mine = [one for one in after if one.owner.target == 'a']
+        self.assertTrue(mine)
+        self.assertTrue(all(ranges.is_new(one) for one in mine))
+        self.assertEqual({one.owner.born for one in mine}, {2})
+
+    def test_a_newcomer_gets_keys(self) -> None:
+        """A target that joins is given a part of the heaviest owner's."""
+        table = numbered(
+            planning.plan((), candidates('ab'), {}, may_balance=False).table, 1
+        )
+        after = planning.plan(
+            table, candidates('abc'), {1000: 40.0}, may_balance=False
+        ).table
+        self.assertIn('c', {one.owner.target for one in after})
+        self.assertTrue(is_whole(after))
+
+    def test_a_hot_key_is_left_alone(self) -> None:
+        """The neighbours of a hot key move away; the key stays."""
+        hot = 500
+        found = candidates('abcd')
+        table = numbered(
+            planning.plan((), found, {}, may_balance=False).table, 1
+        )
+        loads: dict[int, float] = {hot: 80.0, hot - 3: 6.0, hot + 3: 6.0}
+        key = hot * ranges.BLOCK_KEYS
+        before = _owner(table, key)
+        for number in range(2, 9):
+            planned = planning.plan(table, found, loads, may_balance=True)
+            table = numbered(planned.table, number)
+        self.assertEqual(_owner(table, key), before)
+        rest = sum(
+            ranges.load_of(one.first, one.last, loads)
+            for one in table
+            if one.owner == before
+        )
+        self.assertLess(rest, 82)
+
+
+class FenceTests(unittest.TestCase):
+    """Fences of grants and releases."""
+
+    def test_order(self) -> None:
+        """A release lies between the earlier owner's fence and the new."""
+        owner = ranges.Owner('a', 1)
+        for offset in (0, 1, 900):
+            with self.subTest(offset=offset):
+                old = ranges.fence_at(offset)
+                new = ranges.Range(0, 9, owner, ranges.fence_at(offset + 1))
+                self.assertGreater(old, ranges.NEW_FENCE)
+                self.assertLess(old, ranges.release_fence(new))
+                self.assertLess(ranges.release_fence(new), new.fence)
+
+
+def _owner(table: ranges.Table, key: int) -> ranges.Owner:
+    return next(one.owner for one in table if one.first <= key <= one.last)
--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -1,6 +1,8 @@
 """Connections to targets that are reused only after a whole answer."""
 
 import contextvars
+import socket
+import struct
 import typing
 from collections import abc
 from urllib import parse as urls
@@ -12,6 +14,10 @@
 
 #: Idle time after which a kept connection is closed instead of used.
 IDLE_MS: typing.Final = 2000
+#: Sent bytes that are not acknowledged for so long end a connection.
+SILENT_MS: typing.Final = 3000
+#: Value of SO_LINGER: on, for 0 seconds.
+RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
 
 
 class SentTwiceError(exceptions.AiosonicError):  # type: ignore[misc]
@@ -86,6 +92,17 @@
             self.close()
         super().release()
 
+    async def _connection_made(self) -> None:  # noqa: WPS437
+        """Makes the connection end at once when it is closed or goes silent.
+
+        Bytes that a partition holds up are lost with the reset; closed in
+        the usual way they would still arrive when the partition heals.
+        """
+        await super()._connection_made()
+        raw = self.writer.get_extra_info('socket')
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
+
 
 class FreshConnection(TargetConnection):
     """A connection that carries one exchange."""
--- a/src/bilberryglade/_targets/directory.py
+++ b/src/bilberryglade/_targets/directory.py
@@ -71,13 +71,7 @@
     if offset <= known.offsets.get(name, -1):
         return known
     offsets = known.offsets.set(name, offset)
-    target = known.targets.get(name)
-    if target is None:
-        return known._replace(offsets=offsets)
-    if keep_until and not target.is_draining:
-        lapsed = known.lapsed.set(name, keep_until)
-        return known._replace(offsets=offsets, lapsed=lapsed)
-    return _without(known._replace(offsets=offsets), name)
+    return _lapsed(known._replace(offsets=offsets), name, keep_until)
 
 
 def expire(known: Directory, now: float) -> Directory:
@@ -97,7 +91,7 @@
     """Drops every target that a whole reading up to `end` does not name."""
     for name, target in known.targets.items():
         if name not in names and target.offset < end:
-            known = drop(known, name, end - 1, keep_until)
+            known = _lapsed(known, name, keep_until)
     return known
 
 
@@ -107,6 +101,15 @@
     return target.sequence < before.sequence
 
 
+def _lapsed(known: Directory, name: str, keep_until: float) -> Directory:
+    target = known.targets.get(name)
+    if target is None:
+        return known
+    if keep_until and not target.is_draining:
+        return known._replace(lapsed=known.lapsed.set(name, keep_until))
+    return _without(known, name)
+
+
 def _without(known: Directory, name: str) -> Directory:
     targets = known.targets
     if name in targets:
--- /dev/null
+++ b/src/bilberryglade/_targets/tests/test_directory.py
@@ -0,0 +1,83 @@
+"""Targets' entries: older ones, drops, lapses around an outage."""
+
+import unittest
+
+from bilberryglade._targets import directory
+
+
+def target(**changes: object) -> directory.Target:
+    """Returns a target that is ready and warm."""
+    ready = directory.Target(
+        name='t',
+        born=10,
+        service='s',
+        address='127.0.0.1:1',
+        failure_domain='a',
+        places=2,
+        is_draining=False,
+        cold_until=0,
+        sequence=5,
+        offset=100,
+    )
+    return ready._replace(**changes)  # type: ignore[arg-type]
+
+
+class PutTests(unittest.TestCase):
+    """What replaces what."""
+
+    def test_order(self) -> None:
+        """Offset, life and sequence decide, in this order."""
+        known = directory.put(directory.Directory(), target())
+        cases = (
+            ('newer', {'offset': 101, 'sequence': 6}, True),
+            ('same offset', {'sequence': 6}, False),
+            ('old words again', {'offset': 101, 'sequence': 4}, False),
+            ('earlier life', {'offset': 101, 'born': 9, 'sequence': 9}, False),
+            ('next life', {'offset': 101, 'born': 11, 'sequence': 0}, True),
+        )
+        for name, changes, is_taken in cases:
+            with self.subTest(name=name):
+                new = target(is_draining=True, **changes)
+                after = directory.put(known, new).targets['t']
+                self.assertEqual(after.is_draining, is_taken)
+
+
+class DropTests(unittest.TestCase):
+    """Entries that go."""
+
+    def setUp(self) -> None:
+        """One target is listed."""
+        self.known = directory.put(directory.Directory(), target())
+
+    def test_at_once(self) -> None:
+        """With the store at hand, a dropped entry means gone."""
+        after = directory.drop(self.known, 't', 101)
+        self.assertNotIn('t', after.targets)
+
+    def test_late_drop(self) -> None:
+        """A drop that is older than the entry changes nothing."""
+        after = directory.drop(self.known, 't', 99)
+        self.assertIn('t', after.targets)
+
+    def test_around_an_outage(self) -> None:
+        """A lapsed entry is waited for, and gone if it does not come back."""
+        after = directory.drop(self.known, 't', 101, keep_until=50)
+        self.assertIn('t', directory.expire(after, 49).targets)
+        self.assertNotIn('t', directory.expire(after, 50).targets)
+        back = directory.put(after, target(offset=102, sequence=6))
+        self.assertIn('t', directory.expire(back, 60).targets)
+
+    def test_leaving_is_never_doubted(self) -> None:
+        """A target that said it leaves is gone with its entry."""
+        leaving = directory.put(
+            self.known, target(offset=101, sequence=6, is_draining=True)
+        )
+        after = directory.drop(leaving, 't', 102, keep_until=50)
+        self.assertNotIn('t', after.targets)
+
+    def test_whole_reading(self) -> None:
+        """What a whole reading does not name is gone."""
+        after = directory.retain(self.known, frozenset(), 101)
+        self.assertNotIn('t', after.targets)
+        early = directory.retain(self.known, frozenset(), 100)
+        self.assertIn('t', early.targets)
--- /dev/null
+++ b/src/bilberryglade/_targets/tests/test_sender.py
@@ -0,0 +1,41 @@
+"""Connections to targets end with what was sent over them."""
+
+import asyncio
+import unittest
+
+from bilberryglade._targets import sender
+from bilberryglade._values import outcomes
+
+
+class ResetTests(unittest.IsolatedAsyncioTestCase):
+    """What becomes of a call that is given up."""
+
+    async def test_given_up_call_resets_its_connection(self) -> None:
+        """The target sees a reset, so that nothing on the way is taken."""
+        ended: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+
+        async def accept(  # noqa: WPS430
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            try:
+                await reader.read()
+            except ConnectionResetError:
+                ended.set_result('reset')
+            else:
+                ended.set_result('closed')
+            writer.close()
+
+        server = await asyncio.start_server(accept, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        http = sender.Sender(2, 1000)
+        call = sender.Call(
+            f'127.0.0.1:{port}', 'POST', '/order', {}, b'', seconds=0.1
+        )
+        outcome = await http.send(call, on_fresh=False)
+        self.assertEqual(outcome, outcomes.Unknown(outcomes.Reason.deadline))
+        async with asyncio.timeout(2):
+            self.assertEqual(await ended, 'reset')
+        await http.close()
+        server.close()
--- a/src/bilberryglade/_values/leases.py
+++ b/src/bilberryglade/_values/leases.py
@@ -21,6 +21,14 @@
     handover: str = ''
 
 
+class Holder(typing.NamedTuple):
+    """Where an order goes, and which target alone may take it."""
+
+    name: str
+    #: IP number and port; another target may have it by now.
+    address: str
+
+
 class Failure(enum.StrEnum):
     """Why an order to a target was not confirmed."""
 
--- a/src/bilberryglade/platform/orders.py
+++ b/src/bilberryglade/platform/orders.py
@@ -25,7 +25,7 @@
 
     async def grant(
         self,
-        address: str,
+        target: leases.Holder,
         lease: leases.Lease,
     ) -> result.Result[None, leases.Failure]:
         """Grants a lease, or renews it; its time runs from its arrival."""
@@ -37,12 +37,12 @@
         }
         if lease.handover:
             order['handover'] = lease.handover
-        answer = await self._order(address, 'grant', order, GRANT_SECONDS)
+        answer = await self._order(target, 'grant', order, GRANT_SECONDS)
         return answer.map(lambda _: None)
 
     async def release(
         self,
-        address: str,
+        target: leases.Holder,
         lease: leases.Lease,
         seconds: float,
     ) -> result.Result[str, leases.Failure]:
@@ -52,23 +52,23 @@
             'to': lease.last,
             'fence': lease.fence,
         }
-        answer = await self._order(address, 'release', order, seconds)
+        answer = await self._order(target, 'release', order, seconds)
         return answer.map(
             lambda answered: headers.find(answered.headers, headers.HANDOVER),
         )
 
     async def _order(
         self,
-        address: str,
+        target: leases.Holder,
         name: str,
         order: dict[str, object],
         seconds: float,
     ) -> result.Result[outcomes.Answered, leases.Failure]:
         call = sender.Call(
-            address=address,
+            address=target.address,
             method='POST',
             path=f'/bilberryglade/{name}',
-            headers=dict(JSON_BODY),
+            headers={**JSON_BODY, headers.EXPECTED_TARGET: target.name},
             body=codec.encode_json(order),
             seconds=seconds,
         )
--- a/src/bilberryglade_stand_ins/store_service.py
+++ b/src/bilberryglade_stand_ins/store_service.py
@@ -47,7 +47,7 @@
         status, answer = self.model.partition(query).append(query, body)
         if self.faults.unanswered_appends and body:
             self.faults.unanswered_appends -= 1
-            await asyncio.sleep(3600)
+            await _left(request)
         return responses.JSONResponse(answer, status)
 
     async def read(self, request: requests.Request) -> responses.Response:
@@ -97,3 +97,10 @@
         if self.faults.refuses_with:
             return responses.Response(status_code=self.faults.refuses_with)
         return None
+
+
+async def _left(request: requests.Request) -> None:
+    """Waits until the caller has given up."""
+    message = await request.receive()
+    while message['type'] != 'http.disconnect':
+        message = await request.receive()
