Keys by the speed of their owners, several moves a plan; silence pauses a target; falls by request

Cause: targets of one service differ threefold in speed, and keys were divided evenly, so that those at slow targets were answered late. The coordinator learns the speeds from the instances' reports. A target that leaves several requests unanswered is paused. Requests that fell several targets are refused.

--- /dev/null
+++ b/src/bilberryglade/_delivery/crash_records.py
@@ -0,0 +1,114 @@
+"""Requests that crash the targets which run them, known to all instances.
+
+Such a request comes again with another id, at any instance. It is known by
+its fingerprint; one that has felled several lives of targets is refused for a
+while. A target counts as fallen if its connection broke and it then refuses a
+new one; a request that merely shared it is blamed once, not several times.
+"""
+
+import asyncio
+import typing
+
+import loguru
+import xxhash
+
+from bilberryglade._membership import fleet
+from bilberryglade._routing import admission
+from bilberryglade._targets import directory
+from bilberryglade._values import clock
+from bilberryglade_schema import fleet as messages
+
+#: Lives of targets that a request may fell before it is refused.
+MOST_FALLS: typing.Final = 3
+#: Seconds for which a fall counts, and a request is refused.
+KEEP_SECONDS: typing.Final = 60.0
+#: Seconds for the connection that tells whether a target has fallen.
+PROBE_SECONDS: typing.Final = 0.3
+
+
+class CrashRecords:
+    """Falls of targets by the requests that they ran."""
+
+    def __init__(self, members: fleet.Fleet) -> None:
+        """Has no record."""
+        self.members = members
+        #: By fingerprint: the lives that fell, with the seconds of the fall.
+        self.falls: dict[str, dict[str, float]] = {}
+        self.probes: set[asyncio.Task[None]] = set()
+
+    def is_quarantined(self, request: admission.Incoming) -> bool:
+        """Tells whether a request is refused because of what it did."""
+        if not self.falls:
+            return False
+        since = clock.now() - KEEP_SECONDS
+        falls = self.falls.get(fingerprint(request), {})
+        return sum(at > since for at in falls.values()) >= MOST_FALLS
+
+    def examine(
+        self,
+        request: admission.Incoming,
+        target: directory.Target,
+    ) -> None:
+        """Finds out whether a target fell; its connection has broken."""
+        task = asyncio.create_task(self._examine(request, target))
+        self.probes.add(task)
+        task.add_done_callback(self.probes.discard)
+
+    def hear(self, crash: messages.Crash) -> None:
+        """Takes in a fall that this or another instance saw."""
+        falls = self.falls.setdefault(crash['fingerprint'], {})
+        falls.setdefault(crash['target'], clock.now())
+        if len(falls) == MOST_FALLS:
+            loguru.logger.warning(
+                'request with fingerprint {} refused: {} targets fell',
+                crash['fingerprint'],
+                len(falls),
+            )
+
+    def forget_old(self) -> None:
+        """Drops records that do not count any more."""
+        since = clock.now() - KEEP_SECONDS
+        self.falls = {
+            name: falls
+            for name, falls in self.falls.items()
+            if any(at > since for at in falls.values())
+        }
+
+    async def _examine(
+        self,
+        request: admission.Incoming,
+        target: directory.Target,
+    ) -> None:
+        if not await refuses(target.address):
+            return
+        crash: messages.Crash = {
+            'kind': 'crash',
+            'sender': self.members.own.name,
+            'fingerprint': fingerprint(request),
+            'target': f'{target.name}/{target.born}',
+        }
+        self.hear(crash)
+        self.members.send_all(crash)
+
+
+def fingerprint(request: admission.Incoming) -> str:
+    """Returns what a request has in common with its repeats."""
+    line = f'{request.method} {request.host} {request.path}?{request.query}'
+    digest = xxhash.xxh64(f'{line}\n{request.api_key}\n'.encode())
+    digest.update(request.body)
+    return str(digest.hexdigest())
+
+
+async def refuses(address: str) -> bool:
+    """Tells whether nothing listens at an address."""
+    host, _, port = address.rpartition(':')
+    try:
+        async with asyncio.timeout(PROBE_SECONDS):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        # Silence is no refusal: the target may be cut off.
+        return False
+    writer.transport.abort()
+    return False
--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -9,7 +9,7 @@
 import typing
 from collections import abc
 
-from bilberryglade._delivery import budget, sends
+from bilberryglade._delivery import budget, crash_records, sends
 from bilberryglade._knowledge import reading
 from bilberryglade._limits import desks
 from bilberryglade._ownership import owners, steward
@@ -66,6 +66,7 @@
         quotas: desks.Desks,
         sending: sends.Sends,
         instances: abc.Callable[[], int],
+        crashes: crash_records.CrashRecords,
     ) -> None:
         """Reads what is known from the parts given."""
         self.place = place
@@ -74,6 +75,7 @@
         self.quotas = quotas
         self.sending = sending
         self.instances = instances
+        self.crashes = crashes
         self.turns: dict[str, splitting.Turns] = {}
         self.budgets: dict[str, budget.Budget] = {}
         self.offset = random.random()
@@ -92,6 +94,9 @@
             organisation=name,
         )
         wait = None
+        if self.crashes.is_quarantined(request):
+            refused = outcomes.NotRun(outcomes.Reason.quarantined)
+            return delivered._replace(outcome=refused)
         if admitted.organisation is not None:
             wait = await self.quotas.admit(admitted.organisation)
         if wait is not None:
--- a/src/bilberryglade/_delivery/sends.py
+++ b/src/bilberryglade/_delivery/sends.py
@@ -35,6 +35,7 @@
         """Returns what came of the send within `seconds`."""
 
 
+LOST: typing.Final = outcomes.Unknown(outcomes.Reason.answer_lost)
 #: Instances that may send to one cold target: with one request each in
 #: `choosing.COLD_SPACING_SECONDS` they stay within what it bears.
 MARGIN_REQUESTS: typing.Final = 2.0
@@ -58,6 +59,10 @@
         self.exchange = exchange
         self.cold_room = cold_room
         self.standings: dict[tuple[str, int], standing.Standing] = {}
+        #: Called when the connection of a request broke at a target.
+        self.on_loss: abc.Callable[
+            [admission.Incoming, directory.Target], None
+        ] = lambda *_: None
         #: Requests at a target that may run once.
         self.under_way: set[str] = set()
 
@@ -92,8 +97,18 @@
             self.under_way.discard(request.request_id)
             self._end(target)
         self._take(target, sent, clock.now() - began)
+        if sent.outcome == LOST:
+            self.on_loss(request, target)
         return sent.outcome
 
+    def seconds(self) -> dict[str, float]:
+        """Returns how long work takes at each target that is known."""
+        return {
+            life[0]: round(known.seconds, 4)
+            for life, known in self.standings.items()
+            if known.seconds
+        }
+
     def forget_gone(self) -> None:
         """Drops the standing of targets that are not listed any more."""
         directory_now = self.reader.known.directory
@@ -161,4 +176,6 @@
         return standing.unreachable(known, target.offset, now)
     if outcome.reason is outcomes.Reason.answer_lost:
         return standing.lost(known, target.offset, now)
+    if outcome.reason is outcomes.Reason.deadline:
+        return standing.silent(known, target.offset, now)
     return known
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -10,7 +10,7 @@
 import result
 from starlette import applications, requests, responses, routing
 
-from bilberryglade._delivery import router, sends
+from bilberryglade._delivery import crash_records, router, sends
 from bilberryglade._instance import serving
 from bilberryglade._knowledge import (
     peer_handlers,
@@ -96,7 +96,7 @@
                 self.reader,
                 place.bounds.longest_lease,
             ),
-            self.load_sum.loads,
+            self.load_sum,
         )
         self._wire_requests()
 
@@ -161,7 +161,10 @@
             self.fleet, self.candidacy, self.instances, self.pools.answer
         )
         self.reporter = key_loads.Reporter(
-            self.fleet, self.candidacy, self.load_sum.take
+            self.fleet,
+            self.candidacy,
+            self.load_sum.take,
+            lambda: self.sends.seconds(),  # noqa: PLW0108
         )
         self.candidacy.on_start.append(self.pools.begin)
         self.candidacy.on_start.append(self.lead)
@@ -171,6 +174,8 @@
             exchange.TargetExchange(self.targets),
             self.cold_room,
         )
+        self.crashes = crash_records.CrashRecords(self.fleet)
+        self.sends.on_loss = self.crashes.examine
         self.router = router.Router(
             self.place,
             self.reader,
@@ -178,6 +183,7 @@
             self.desks,
             self.sends,
             self.instances,
+            self.crashes,
         )
         self.router.count_key = self.reporter.count
         self.exchanges = exchange_counts.Exchanges(self.reader, self.steward)
@@ -310,6 +316,7 @@
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self.parts.reader.expire()
             self.parts.sends.forget_gone()
+            self.parts.crashes.forget_old()
 
     async def _read_tables(self) -> None:
         """Reads the owners of keys once, for a start without a coordinator."""
--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -59,6 +59,13 @@
     parts.desks.take(message)
 
 
+@handlers.handler_for('crash', fleet.Crash)
+def handle_crash(parts: 'entry.Parts', message: fleet.Crash) -> None:
+    """Takes in that a target fell while it ran a request."""
+    parts.fleet.hear(message['sender'])
+    parts.crashes.hear(message)
+
+
 @handlers.handler_for('relay', fleet.Relay)
 def handle_relay(parts: 'entry.Parts', message: fleet.Relay) -> None:
     """Takes in records of the store."""
--- a/src/bilberryglade/_ownership/key_loads.py
+++ b/src/bilberryglade/_ownership/key_loads.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import math
+import statistics
 import typing
 from collections import abc
 
@@ -22,6 +23,10 @@
 LEAST_LOAD: typing.Final = 0.1
 #: Seconds after which a report does not count any more.
 REPORT_LIFE_SECONDS: typing.Final = 2.0
+#: How much faster than its speed a target's weight falls, and its bounds.
+SPEED_POWER: typing.Final = 1.5
+LEAST_WEIGHT: typing.Final = 0.25
+MOST_WEIGHT: typing.Final = 2.5
 
 
 class Count(typing.NamedTuple):
@@ -39,11 +44,16 @@
         members: fleet.Fleet,
         lease: candidacy.Candidacy,
         take_own: abc.Callable[[messages.Report], None],
+        target_seconds: abc.Callable[[], dict[str, float]],
     ) -> None:
-        """`take_own` gets the reports while this instance coordinates."""
+        """`take_own` gets the reports while this instance coordinates.
+
+        `target_seconds` returns how long work takes at each target.
+        """
         self.members = members
         self.lease = lease
         self.take_own = take_own
+        self.target_seconds = target_seconds
         self.loads: dict[str, dict[int, Count]] = {}
 
     def count(self, service: str, key: int) -> None:
@@ -81,6 +91,7 @@
                 }
                 for service, blocks in self.loads.items()
             },
+            'target_seconds': self.target_seconds(),
         }
 
 
@@ -106,6 +117,31 @@
                 total[int(block)] = total.get(int(block), 0) + rate
         return total
 
+    def weight(self, target: str) -> float:
+        """Returns how much of a usual target's load a target can carry.
+
+        Work that takes twice as long also waits longer behind other work, so
+        the weight falls faster than the speed.
+        """
+        seconds = self._seconds()
+        own = seconds.get(target)
+        if not own:
+            return 1
+        usual = statistics.median(seconds.values())
+        return min(max((usual / own) ** SPEED_POWER, LEAST_WEIGHT), MOST_WEIGHT)
+
+    def _seconds(self) -> dict[str, float]:
+        now = clock.now()
+        told: dict[str, list[float]] = {}
+        for report, taken_at in self.reports.values():
+            if now - taken_at > REPORT_LIFE_SECONDS:
+                continue
+            for target, seconds in report['target_seconds'].items():
+                told.setdefault(target, []).append(seconds)
+        return {
+            target: statistics.fmean(words) for target, words in told.items()
+        }
+
 
 def _faded(count: Count, now: float) -> float:
     elapsed = max(now - count.counted_at, 0)
--- a/src/bilberryglade/_ownership/planning.py
+++ b/src/bilberryglade/_ownership/planning.py
@@ -13,11 +13,13 @@
 from bilberryglade._values import leases
 
 #: An owner gives keys away from this many times the mean load on.
-HEAVY_RATIO: typing.Final = 1.5
+HEAVY_RATIO: typing.Final = 1.35
 #: An owner takes keys up to this many times the mean load.
 LIGHT_RATIO: typing.Final = 0.9
 #: Requests a second below which nobody counts as heavy.
 LEAST_HEAVY_LOAD: typing.Final = 4.0
+#: Most pieces of keys that one plan moves for balance.
+MOST_SHIFTS: typing.Final = 3
 #: Most pieces that the keys of a lost owner are divided into.
 MOST_HEIRS: typing.Final = 3
 
@@ -44,7 +46,8 @@
     wanted = _inherited(table, candidates, loads)
     wanted = _with_newcomers(wanted, candidates, loads)
     if may_balance and wanted == table:
-        wanted = _balanced(wanted, candidates, loads)
+        for _ in range(MOST_SHIFTS):
+            wanted = _balanced(wanted, candidates, loads)
     wanted = ranges.merged(wanted)
     return Plan(wanted, is_changed=wanted != ranges.merged(table))
 
--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import typing
-from collections import abc
 
 import loguru
 import result
@@ -14,7 +13,7 @@
 from bilberryglade._codec import codec
 from bilberryglade._knowledge import reading
 from bilberryglade._membership import candidacy, fleet
-from bilberryglade._ownership import lessor, owners, planning, ranges
+from bilberryglade._ownership import key_loads, lessor, owners, planning, ranges
 from bilberryglade._targets import directory
 from bilberryglade._values import clock, stored
 from bilberryglade.platform import store
@@ -26,7 +25,7 @@
 RETRY_SECONDS: typing.Final = 0.3
 TICK_SECONDS: typing.Final = 0.1
 #: Seconds between two plans that even out the load.
-BALANCE_SECONDS: typing.Final = 1.0
+BALANCE_SECONDS: typing.Final = 0.7
 #: Seconds after the start of a term before load is evened out.
 SETTLE_SECONDS: typing.Final = 2.0
 #: Seconds between messages that repeat the tables.
@@ -45,15 +44,15 @@
         client: store.StoreClient,
         reader: reading.Reader,
         leasing: lessor.Lessor,
-        loads: abc.Callable[[str], ranges.Loads],
+        load_sum: key_loads.LoadSum,
     ) -> None:
-        """`loads` returns the requests a second by block of a service."""
+        """`load_sum` has the load on keys and the speed of targets."""
         self.members = members
         self.lease = lease
         self.client = client
         self.reader = reader
         self.lessor = leasing
-        self.loads = loads
+        self.load_sum = load_sum
         self.tables = owners.Tables()
         #: Earlier owners by the record that was read last.
         self.former: dict[str, list[messages.OwnedRange]] = {}
@@ -177,7 +176,10 @@
             and not self.lessor.passes_over(target, now)
         ]
         return [
-            ranges.Candidate(lessor.owner_of(target), float(target.places))
+            ranges.Candidate(
+                lessor.owner_of(target),
+                target.places * self.load_sum.weight(target.name),
+            )
             for target in sorted(chosen, key=_place)
         ]
 
@@ -196,7 +198,7 @@
             planned = planning.plan(
                 self._refenced(service),
                 self._candidates(service),
-                self.loads(service),
+                self.load_sum.loads(service),
                 may_balance=balances,
             )
             wanted[service] = planned.table
--- a/src/bilberryglade/_targets/sender.py
+++ b/src/bilberryglade/_targets/sender.py
@@ -12,7 +12,7 @@
 from bilberryglade._values import outcomes
 
 #: Seconds for a new connection; targets of the fleet are milliseconds away.
-CONNECT_SECONDS: typing.Final = 0.5
+CONNECT_SECONDS: typing.Final = 0.3
 #: What the library raises when an exchange comes to no whole answer.
 BROKEN_EXCHANGE: typing.Final = (
     exceptions.AiosonicError,
--- a/src/bilberryglade/_targets/standing.py
+++ b/src/bilberryglade/_targets/standing.py
@@ -117,13 +117,21 @@
     return paused._replace(doubtful_until=now + DOUBT_SECONDS)
 
 
+def silent(standing: Standing, offset: int, now: float) -> Standing:
+    """Takes in that an answer did not come in time; one may just be late."""
+    if standing.losses:
+        return lost(standing, offset, now)
+    return standing._replace(losses=1)
+
+
 def is_paused(standing: Standing, offset: int, now: float) -> bool:
     """Tells whether the target gets nothing after a failed exchange.
 
-    A newer entry of the target ends the pause of a single loss.
+    A newer entry of the target ends the pause of a single loss. After more
+    of them one request at a time tries whether the target answers again.
     """
     if standing.paused_until <= now:
-        return False
+        return standing.losses > 1 and standing.outstanding > 0
     return standing.losses > 1 or offset <= standing.lost_offset
 
 
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -38,6 +38,7 @@
     kind: Literal['report']
     sender: str
     key_loads: dict[str, dict[str, float]]
+    target_seconds: dict[str, float]
 
 
 class QuotaAsk(TypedDict):
