--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -163,7 +163,7 @@
                 outcome=outcome,
                 targets=(*delivered.targets, chosen.target.name),
             )
-            if not self._may_repeat(job, delivered):
+            if not may_repeat(job, delivered):
                 return self._with_return(job, delivered)
 
     def _seconds(self, job: Job, delivered: Delivered) -> float:
@@ -181,24 +181,6 @@
             return left * FIRST_SEND_PART
         return left
 
-    def _may_repeat(self, job: Job, delivered: Delivered) -> bool:
-        """Tells whether a request may be sent once more.
-
-        What may have run is sent again only if it may run twice.
-        """
-        route = job.admitted.route
-        if len(delivered.targets) >= route.attempts:
-            return False
-        if job.deadline - clock.now() < LEAST_SECONDS:
-            return False
-        if isinstance(delivered.outcome, outcomes.NotRun):
-            return True
-        if not route.repeatable:
-            return False
-        if isinstance(delivered.outcome, outcomes.Unknown):
-            return True
-        return delivered.outcome.status >= sends.FAILED_STATUS
-
     def _spend(self, service: str) -> bool:
         left = budget.spent(self.budgets[service])
         if left is None:
@@ -293,3 +275,22 @@
         return self._refused(
             job.request, delivered, choosing.LEAST_RETRY_SECONDS * 2
         )
+
+
+def may_repeat(job: Job, delivered: Delivered) -> bool:
+    """Tells whether a request may be sent once more.
+
+    What may have run is sent again only if it may run twice.
+    """
+    route = job.admitted.route
+    if len(delivered.targets) >= route.attempts:
+        return False
+    if job.deadline - clock.now() < LEAST_SECONDS:
+        return False
+    if isinstance(delivered.outcome, outcomes.NotRun):
+        return True
+    if not route.repeatable:
+        return False
+    if isinstance(delivered.outcome, outcomes.Unknown):
+        return True
+    return delivered.outcome.status >= sends.FAILED_STATUS
--- a/src/bilberryglade/_ownership/key_loads.py
+++ b/src/bilberryglade/_ownership/key_loads.py
@@ -128,7 +128,8 @@
         if not own:
             return 1
         usual = statistics.median(seconds.values())
-        return min(max((usual / own) ** SPEED_POWER, LEAST_WEIGHT), MOST_WEIGHT)
+        weight = float((usual / own) ** SPEED_POWER)
+        return min(max(weight, LEAST_WEIGHT), MOST_WEIGHT)
 
     def _seconds(self) -> dict[str, float]:
         now = clock.now()
--- /dev/null
+++ b/src/bilberryglade/_targets/tests/test_choosing.py
@@ -0,0 +1,158 @@
+"""Which target gets a request, and when none does."""
+
+import typing
+import unittest
+
+from bilberryglade._targets import choosing, directory, standing
+from bilberryglade._values import outcomes
+
+NOW: typing.Final = 100.0
+
+
+def view(name: str, **known: typing.Any) -> choosing.View:
+    """Returns a view of a warm target with two places."""
+    changes = {
+        field: known.pop(field)
+        for field in ('cold_until', 'is_draining', 'failure_domain')
+        if field in known
+    }
+    target = directory.Target(
+        name=name,
+        born=1,
+        service='s',
+        address='127.0.0.1:1',
+        failure_domain='a',
+        places=2,
+        is_draining=False,
+        cold_until=0,
+        sequence=1,
+        offset=10,
+    )._replace(**changes)
+    may_warm = known.pop('may_warm', True)
+    return choosing.View(target, standing.Standing(**known), may_warm)
+
+
+def demand(**changes: typing.Any) -> choosing.Demand:
+    """Returns a fresh request's demand."""
+    return choosing.Demand('a', 0.3, 1.0, frozenset())._replace(**changes)
+
+
+class ChoiceTests(unittest.TestCase):
+    """The cheapest usable target."""
+
+    def test_table(self) -> None:
+        """The better of two targets, for one reason at a time."""
+        good = view('good', seconds=0.09)
+        cases = (
+            ('slower', view('bad', seconds=0.2)),
+            ('busier', view('bad', seconds=0.09, outstanding=2)),
+            ('failing', view('bad', seconds=0.09, failing=0.5)),
+            ('elsewhere', view('bad', seconds=0.09, failure_domain='b')),
+            ('cold', view('bad', seconds=0.09, cold_until=NOW + 1)),
+            ('leaving', view('bad', seconds=0.01, is_draining=True)),
+            (
+                'paused',
+                view('bad', seconds=0.01, paused_until=NOW + 1, losses=2),
+            ),
+            (
+                'being tried',
+                view('bad', seconds=0.01, losses=2, outstanding=1),
+            ),
+        )
+        for name, bad in cases:
+            with self.subTest(name=name):
+                chosen = choosing.choose((bad, good), demand(), NOW)
+                self.assertEqual(chosen, good)
+
+    def test_tried_before(self) -> None:
+        """A request is not sent to the same target twice."""
+        chosen = choosing.choose(
+            (view('x'),), demand(tried=frozenset(('x',))), NOW
+        )
+        self.assertIsInstance(chosen, choosing.Refusal)
+
+    def test_cold_rate(self) -> None:
+        """One instance sends to a cold target once in its spacing."""
+        spacing = choosing.COLD_SPACING_SECONDS
+        cold = {'cold_until': NOW + 3}
+        early = view('x', cold_sent_at=NOW - spacing + 0.01, **cold)
+        due = view('x', cold_sent_at=NOW - spacing, **cold)
+        barred = view('x', may_warm=False, **cold)
+        refused = choosing.choose((early,), demand(), NOW)
+        assert isinstance(refused, choosing.Refusal)
+        self.assertEqual(refused.reason, outcomes.Reason.cold)
+        self.assertEqual(choosing.choose((due,), demand(), NOW), due)
+        self.assertIsInstance(
+            choosing.choose((barred,), demand(), NOW), choosing.Refusal
+        )
+
+    def test_doubtful_target_counts_as_cold(self) -> None:
+        """A target that refused connections may have started again."""
+        known = standing.unreachable(standing.Standing(), 10, NOW)
+        target = view('x').target._replace(offset=11)
+        again = choosing.View(target, known, may_warm=True)
+        self.assertTrue(choosing.is_cold(again, NOW + 1))
+
+
+class QueueTests(unittest.TestCase):
+    """A burst on one owner: who waits, and who is told to come back."""
+
+    def test_burst(self) -> None:
+        """Only as many are sent as can be answered in time."""
+        known = standing.Standing(seconds=0.09)
+        sent = 0
+        refused: list[choosing.Refusal] = []
+        for _ in range(30):
+            owner = choosing.View(view('x').target, known, may_warm=True)
+            chosen = choosing.choose((owner,), demand(), NOW)
+            if isinstance(chosen, choosing.Refusal):
+                refused.append(chosen)
+                continue
+            known = standing.sent(known)
+            sent += 1
+        self.assertGreaterEqual(sent, 4)
+        self.assertLess(sent, 9)
+        for refusal in refused:
+            self.assertGreater(refusal.retry_seconds, 0)
+            self.assertLessEqual(
+                refusal.retry_seconds, choosing.MOST_RETRY_SECONDS
+            )
+
+    def test_late_ones_get_what_time_they_have(self) -> None:
+        """Who is late already may wait longer than who can be in time."""
+        known = standing.Standing(seconds=0.09)
+        fresh = choosing.patience(known, demand())
+        late = choosing.patience(known, demand(aim_left=-0.1))
+        self.assertGreater(late, fresh)
+        hopeless = choosing.patience(
+            known, demand(aim_left=-0.1, time_left=0.05)
+        )
+        self.assertEqual(hopeless, 0)
+
+
+class ReportTests(unittest.TestCase):
+    """Load reports fade."""
+
+    def test_own_requests_count_in_full(self) -> None:
+        """An old report loses its weight; what is under way does not."""
+        busy = standing.answered(
+            standing.Standing(outstanding=1),
+            0.1,
+            standing.Report(2, 6),
+            is_good=True,
+            now=NOW,
+        )
+        soon = standing.load(busy, NOW)
+        later = standing.load(busy, NOW + 2)
+        self.assertGreater(soon, 7)
+        self.assertLess(later, soon / 2)
+        self.assertGreaterEqual(later, 1)
+
+    def test_one_late_answer_is_no_loss(self) -> None:
+        """Silence pauses a target only when it is repeated."""
+        once = standing.silent(standing.Standing(), 10, NOW)
+        self.assertFalse(standing.is_paused(once, 10, NOW))
+        twice = standing.silent(once, 10, NOW)
+        self.assertTrue(standing.is_paused(twice, 10, NOW))
+        back = standing.answered(twice, 0.1, None, is_good=True, now=NOW)
+        self.assertFalse(standing.is_paused(back, 10, NOW))
--- a/src/bilberryglade/platform/tests/deployment.py
+++ b/src/bilberryglade/platform/tests/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import copy
+import itertools
 import json
 import time
 import typing
@@ -10,11 +11,13 @@
 from bilberryglade._membership import enrolment
 from bilberryglade._targets import sender
 from bilberryglade._values import outcomes
-from bilberryglade.platform import headers, node_file
+from bilberryglade.platform import headers, node_file, store
 from bilberryglade.platform.tests import samples, servers
 from bilberryglade_stand_ins import owning_target
 
 BEAT_SECONDS: typing.Final = 0.3
+#: Each deployment has addresses of its own on loopback.
+NETWORKS: typing.Final = itertools.count(1)
 WAIT_SECONDS: typing.Final = 10.0
 CALLERS_PORT: typing.Final = 28_388
 
@@ -35,6 +38,7 @@
         """Nothing runs."""
         self.listed: dict[str, Listed] = {}
         self.entries: list[entry.Entry] = []
+        self.network = next(NETWORKS)
         self.tasks: list[asyncio.Task[None]] = []
         self.sequence = 0
         self.requests = 0
@@ -74,7 +78,7 @@
 
     async def add_instance(self, number: int) -> None:
         """Starts an instance at an address of its own."""
-        ip = f'127.0.0.{number + 2}'
+        ip = self.address(number)
         node: dict[str, typing.Any] = copy.deepcopy(samples.NODE_FILE)
         node['self'].update(node=f'edge-{number}', ip=ip)
         node['network']['listen'] = {
@@ -84,7 +88,7 @@
         store_table = node['provider']['provider']
         store_table['address'] = self.store.running.address
         place = node_file.read(json.dumps(node).encode()).unwrap()
-        client = entry.store.StoreClient(
+        client = store.StoreClient(
             place.store_address, sender.Sender(8, 1_000_000)
         )
         keys = await enrolment.read_keys(client)
@@ -92,6 +96,21 @@
         self.entries.append(running)
         self.tasks.append(asyncio.create_task(running.run()))
 
+    def address(self, number: int) -> str:
+        """Returns the IP number of an instance."""
+        return f'127.77.{self.network}.{number + 1}'
+
+    def runs(self, name: str) -> list[owning_target.Run]:
+        """Returns the requests that a target has begun."""
+        return self.listed[name].target.runs
+
+    def versions(self) -> set[int]:
+        """Returns the configurations in force at the instances."""
+        known = [
+            running.parts.reader.known.catalogue for running in self.entries
+        ]
+        return {one.version if one else 0 for one in known}
+
     def write(self, topic: str, key: str, payload: bytes) -> None:
         """Writes as an operator or a target does."""
         self.store.service.model.write(topic, key, payload)
@@ -145,7 +164,7 @@
         }
         given.update(named)
         call = sender.Call(
-            f'127.0.0.{instance + 2}:{CALLERS_PORT}',
+            f'{self.address(instance)}:{CALLERS_PORT}',
             method,
             path,
             {name.replace('_', '-'): text for name, text in given.items()},
--- a/src/bilberryglade/platform/tests/servers.py
+++ b/src/bilberryglade/platform/tests/servers.py
@@ -54,7 +54,9 @@
 
     async def stop(self) -> None:
         """Ends both."""
+        self.service.is_ending = True
         await self.http.close()
+        await asyncio.sleep(0.05)
         await self.running.stop()
 
 
--- a/src/bilberryglade/platform/tests/test_entry.py
+++ b/src/bilberryglade/platform/tests/test_entry.py
@@ -5,6 +5,7 @@
 
 from bilberryglade.platform import headers
 from bilberryglade.platform.tests import deployment, samples
+from bilberryglade_stand_ins import owning_target
 
 
 class EntryTests(unittest.IsolatedAsyncioTestCase):
@@ -38,7 +39,7 @@
         """The target learns the organisation and never the API key."""
         answer = await self.world.ask('/claims/1', method='POST')
         self.assertEqual(answer.status, 200)
-        run = self.world.listed['c1'].target.runs[-1]
+        run = self.world.runs('c1')[-1]
         self.assertEqual(run.organisation, 'office')
 
     async def test_refusals(self) -> None:
@@ -47,7 +48,7 @@
         unknown_path = await self.world.ask('/nowhere/')
         self.assertEqual(unknown_key.status, 401)
         self.assertEqual(unknown_path.status, 404)
-        self.assertEqual(self.world.listed['c1'].target.runs, [])
+        self.assertEqual(self.world.runs('c1'), [])
 
     async def test_withdrawn_key(self) -> None:
         """A key that the configuration dropped stops working everywhere."""
@@ -58,10 +59,7 @@
         changed = samples.configuration(8, tenants=holders)
         self.world.write('keyed.op', 'config', changed)
         seconds = await self.world.until(
-            lambda: all(
-                running.parts.reader.known.catalogue.version == 8
-                for running in self.world.entries
-            ),
+            lambda: self.world.versions() == {8},
         )
         self.assertLess(seconds, 2)
         for instance in (0, 1):
@@ -88,8 +86,7 @@
 
     async def test_leaving_owner(self) -> None:
         """A target that drains gives its keys up; no key has two owners."""
-        leaving = self.world.listed.pop('l1')
-        self.world.listed['l1'] = leaving
+        leaving = self.world.listed['l1']
         beats = self.world.tasks[0]
         beats.cancel()
         self.world.write_entry('l1', state='draining')
@@ -99,7 +96,8 @@
 
     async def test_store_away(self) -> None:
         """Without the store, callers are served on what is known."""
-        self.world.store.service.faults.refuses_with = 503
+        service = self.world.store.service
+        service.faults.refuses_with = 503
         await asyncio.sleep(3.5)
         served = 0
         for key in range(0, 65_536, 9_000):
@@ -128,5 +126,5 @@
         )
 
 
-def _keys(held: list[deployment.owning_target.Held]) -> int:
+def _keys(held: list[owning_target.Held]) -> int:
     return sum(one.last - one.first + 1 for one in held)
--- a/src/bilberryglade_stand_ins/store_service.py
+++ b/src/bilberryglade_stand_ins/store_service.py
@@ -32,6 +32,8 @@
         """Serves `model`."""
         self.model = model
         self.faults = Faults()
+        #: Set before the end, so that long polls do not outlive the server.
+        self.is_ending = False
         #: Calls by name.
         self.calls: dict[str, int] = {}
 
@@ -60,7 +62,7 @@
         partition = self.model.partition(query)
         loop = asyncio.get_running_loop()
         until = loop.time() + int(query.get('wait_ms', '0')) / 1000
-        while partition.end <= start and loop.time() < until:
+        while self._is_waiting(partition, start) and loop.time() < until:
             await asyncio.sleep(POLL_SECONDS)
         raw = partition.read(start)
         if raw is None:
@@ -90,6 +92,13 @@
             ],
         )
 
+    def _is_waiting(
+        self,
+        partition: store_model.Partition,
+        start: int,
+    ) -> bool:
+        return partition.end <= start and not self.is_ending
+
     async def _refusal(self, name: str) -> responses.Response | None:
         self.calls[name] = self.calls.get(name, 0) + 1
         if self.faults.delay:
