--- a/src/bilberryglade/_delivery/tests/test_crash_records.py
+++ b/src/bilberryglade/_delivery/tests/test_crash_records.py
@@ -7,6 +7,7 @@
 
 from bilberryglade._delivery import crash_records
 from bilberryglade._routing import admission
+from bilberryglade._values import clock
 from bilberryglade_schema import fleet as messages
 
 
@@ -75,19 +76,26 @@
     def test_time(self) -> None:
         """A request is tried again after a while."""
         self.fell('t/1', 't/2', 't/3')
-        later = crash_records.clock.now() + crash_records.KEEP_SECONDS + 1
-        with mock.patch.object(crash_records.clock, 'now', return_value=later):
+        later = clock.now() + crash_records.KEEP_SECONDS + 1
+        with mock.patch.object(clock, 'now', return_value=later):
             self.assertFalse(self.records.is_quarantined(request('2')))
             self.records.forget_old()
         self.assertEqual(self.records.falls, {})
 
 
+async def _leave(
+    _: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    writer.close()
+
+
 class ProbeTests(unittest.IsolatedAsyncioTestCase):
     """Whether a target has fallen."""
 
     async def test_listening(self) -> None:
         """A target that takes connections has not fallen."""
-        server = await asyncio.start_server(mock.AsyncMock(), '127.0.0.1', 0)
+        server = await asyncio.start_server(_leave, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
         self.assertFalse(await crash_records.refuses(f'127.0.0.1:{port}'))
         server.close()
