--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: test check demo format
+.PHONY: test check deployable demo format
 
 export PYTHONPATH = src
 
@@ -22,8 +22,14 @@
 	$(BIN)/flake8 src tools
 	$(BIN)/mypy
 	$(BIN)/python -W ignore tools/generate.py --check
+	$(MAKE) deployable
 	$(BIN)/python -m bilberryglade_lab.run_tests $(TESTS)
 
+# The build of the platform's deploy file, into a scratch folder.
+deployable:
+	deploy/build build/deps
+	PYTHONPATH=build/deps $(PYTHON) -c 'import bilberryglade.platform.__main__'
+
 format: $(VENV)/.installed
 	$(BIN)/ruff check --fix src tools
 	$(BIN)/ruff format src tools
