Only the sign of life makes a coordinator; a hot block does not stop the evening out

Test: _membership/tests/test_candidacy.py. Test: test_a_hot_block_does_not_stop_the_others. Ruled out: reports of load that did not arrive.

--- a/src/bilberryglade/_membership/candidacy.py
+++ b/src/bilberryglade/_membership/candidacy.py
@@ -42,6 +42,9 @@
         #: Name of the coordinator, '' while none is known.
         self.coordinator = ''
         self.term = -1
+        #: Seconds at which the coordinator's last sign of life arrived. Other
+        #: messages of it do not count: it may have lost its lease.
+        self.led_at: float = 0
         #: Called when this instance becomes the coordinator.
         self.on_start: list[abc.Callable[[], None]] = []
 
@@ -50,6 +53,15 @@
         """Whether this instance coordinates now."""
         return leadership.holds(self.state, clock.now())
 
+    @property
+    def is_led(self) -> bool:
+        """Whether this instance has no reason to look at the lease."""
+        if self.state.role is leadership.Role.resigned:
+            return True
+        if not self.coordinator or self.coordinator == self.members.own.name:
+            return False
+        return clock.now() - self.led_at < SILENCE_SECONDS
+
     def hear(self, lead: messages.Lead) -> None:
         """Takes in the coordinator's sign of life."""
         if lead['term'] < self.term:
@@ -60,13 +72,14 @@
             )
         self.coordinator = lead['sender']
         self.term = lead['term']
+        self.led_at = clock.now()
 
     async def keep(self) -> None:
         """Runs until it is cancelled."""
         while True:
             if self.state.role is leadership.Role.coordinator:
                 await self._renew()
-            elif self._is_led():
+            elif self.is_led:
                 await asyncio.sleep(IDLE_SECONDS)
             else:
                 await self._look()
@@ -80,13 +93,6 @@
             await self._append(newest + 1, is_resigned=True)
             loguru.logger.info('coordinator resigned: term {}', self.term)
 
-    def _is_led(self) -> bool:
-        if self.state.role is leadership.Role.resigned:
-            return True
-        if not self.coordinator or self.coordinator == self.members.own.name:
-            return False
-        return self.members.silence_of(self.coordinator) < SILENCE_SECONDS
-
     async def _renew(self) -> None:
         began = clock.now()
         if not self.holds:
--- /dev/null
+++ b/src/bilberryglade/_membership/tests/test_candidacy.py
@@ -0,0 +1,61 @@
+"""Followers of a coordinator: whom they believe, and until when."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from bilberryglade._membership import candidacy, fleet
+from bilberryglade._values import clock
+from bilberryglade.platform.tests import servers
+
+
+def member(name: str) -> fleet.Member:
+    """Returns a member of the fleet."""
+    return fleet.Member(name, f'{name}-boot', '127.0.0.1:1', 'a')
+
+
+def follower(client: object) -> candidacy.Candidacy:
+    """Returns an instance `b` that knows the instance `a`."""
+    members = fleet.Fleet(member('b'), mock.Mock())
+    members.take(member('a'))
+    return candidacy.Candidacy(members, client)  # type: ignore[arg-type]
+
+
+class FollowerTests(unittest.IsolatedAsyncioTestCase):
+    """What makes a follower look at the lease."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts a store; `a` leads."""
+        self.store = await servers.start_store()
+        self.lease = follower(self.store.client)
+        self.lease.hear({'kind': 'lead', 'sender': 'a', 'term': 3})
+
+    async def asyncTearDown(self) -> None:
+        """Ends the store."""
+        await self.store.stop()
+
+    async def test_only_the_sign_of_life_counts(self) -> None:
+        """A coordinator that lost its lease still answers other messages."""
+        self.assertTrue(self.lease.is_led)
+        later = clock.now() + candidacy.SILENCE_SECONDS + 0.1
+        with mock.patch.object(clock, 'now', return_value=later):
+            self.lease.members.hear('a')
+            self.assertFalse(self.lease.is_led)
+
+    async def test_older_terms_are_left_out(self) -> None:
+        """A coordinator of an earlier term is not believed again."""
+        self.lease.hear({'kind': 'lead', 'sender': 'c', 'term': 5})
+        self.lease.hear({'kind': 'lead', 'sender': 'a', 'term': 3})
+        self.assertEqual(self.lease.coordinator, 'c')
+
+    async def test_claim_of_a_free_lease(self) -> None:
+        """With no claim in the store the first to look coordinates."""
+        keep = asyncio.create_task(self.lease.keep())
+        later = clock.now() + candidacy.SILENCE_SECONDS + 0.1
+        with mock.patch.object(clock, 'now', return_value=later):
+            for _ in range(100):
+                await asyncio.sleep(0.02)
+                if self.lease.holds:
+                    break
+        keep.cancel()
+        self.assertTrue(self.lease.holds)
--- a/src/bilberryglade/_ownership/planning.py
+++ b/src/bilberryglade/_ownership/planning.py
@@ -6,6 +6,7 @@
 within minutes.
 """
 
+import statistics
 import typing
 from collections import abc
 
@@ -18,6 +19,10 @@
 LIGHT_RATIO: typing.Final = 0.9
 #: Requests a second below which nobody counts as heavy.
 LEAST_HEAVY_LOAD: typing.Final = 4.0
+#: Requests a second on a range below which moving it evens nothing out.
+LEAST_GIVEN_LOAD: typing.Final = 1.0
+#: A load counts for the mean up to so many times the median.
+MOST_OF_MEDIAN: typing.Final = 2.0
 #: Most pieces of keys that one plan moves for balance.
 MOST_SHIFTS: typing.Final = 3
 #: Most pieces that the keys of a lost owner are divided into.
@@ -79,6 +84,8 @@
     anew, which is no move.
     """
     alive = {candidate.owner: candidate for candidate in candidates}
+    if all(entry.owner in alive for entry in table):
+        return table
     lives = {candidate.owner.target: candidate for candidate in candidates}
     busy = owner_loads(table, candidates, loads)
     kept: list[ranges.Range] = []
@@ -153,24 +160,73 @@
     candidates: abc.Sequence[ranges.Candidate],
     loads: ranges.Loads,
 ) -> ranges.Table:
-    """Moves a part of the heaviest owner's keys to the lightest."""
+    """Moves some keys of the heaviest owner that can give to the lightest.
+
+    An owner whose one block of keys is hotter than it bears cannot give; that
+    must not keep the others from being evened out.
+    """
     busy = owner_loads(table, candidates, loads)
-    mean = sum(busy.values()) / len(busy)
-    heavy = max(busy, key=lambda owner: busy[owner])
-    light = min(busy, key=lambda owner: busy[owner])
     weights = {one.owner: one.weight for one in candidates}
-    if busy[heavy] < max(mean * HEAVY_RATIO, LEAST_HEAVY_LOAD / weights[heavy]):
-        return table
+    mean = _usual(busy.values())
+    light = min(busy, key=busy.__getitem__)
     if busy[light] > mean * LIGHT_RATIO:
         return table
-    place = _largest(table, heavy, loads)
-    if place is None:
+    for giver in sorted(busy, key=busy.__getitem__, reverse=True):
+        least = max(mean * HEAVY_RATIO, LEAST_HEAVY_LOAD / weights[giver])
+        if busy[giver] < least:
+            return table
+        spare = (busy[giver] - busy[light]) / 2 * weights[giver]
+        given = _given(table, giver, light, loads, spare)
+        if given != table:
+            return given
+    return table
+
+
+def _usual(loads: abc.Collection[float]) -> float:
+    """Returns the mean load; one that stands out does not raise it much."""
+    most = MOST_OF_MEDIAN * statistics.median(loads)
+    return statistics.fmean(min(load, most) for load in loads)
+
+
+def _given(
+    table: ranges.Table,
+    giver: ranges.Owner,
+    taker: ranges.Owner,
+    loads: ranges.Loads,
+    spare: float,
+) -> ranges.Table:
+    """Returns the table after `giver` gave up to `spare` of its load.
+
+    A whole range goes if it fits and is not the giver's busiest; else the
+    busiest that can be cut loses its lighter part.
+    """
+    own = {
+        place: ranges.load_of(entry.first, entry.last, loads)
+        for place, entry in enumerate(table)
+        if entry.owner == giver
+    }
+    busiest = max(own, key=own.__getitem__)
+    fitting = [
+        place
+        for place, load in own.items()
+        if place != busiest and LEAST_GIVEN_LOAD < load <= spare
+    ]
+    if fitting:
+        place = max(fitting, key=own.__getitem__)
+        moved = table[place]._replace(owner=taker, fence=ranges.NEW_FENCE)
+        return (*table[:place], moved, *table[place + 1 :])
+    cut = _largest(table, giver, loads)
+    if cut is None:
         return table
-    spare = (busy[heavy] - busy[light]) / 2 * weights[heavy]
-    pieces = _cut(table[place], light, loads, spare)
-    if not pieces:
+    pieces = _cut(table[cut], taker, loads, spare)
+    moved_load = sum(
+        ranges.load_of(piece.first, piece.last, loads)
+        for piece in pieces
+        if piece.owner == taker
+    )
+    if moved_load < LEAST_GIVEN_LOAD:
         return table
-    return (*table[:place], *pieces, *table[place + 1 :])
+    return (*table[:cut], *pieces, *table[cut + 1 :])
 
 
 def _largest(
--- a/src/bilberryglade/_ownership/ranges.py
+++ b/src/bilberryglade/_ownership/ranges.py
@@ -10,7 +10,7 @@
 from bilberryglade._values import leases
 
 #: Keys are counted in blocks of so many; a range begins at a block.
-BLOCK_KEYS: typing.Final = 64
+BLOCK_KEYS: typing.Final = 16
 BLOCKS: typing.Final = (leases.LAST_KEY + 1) // BLOCK_KEYS
 #: Fence of a range whose record has not been written yet.
 NEW_FENCE: typing.Final = 0
@@ -45,7 +45,7 @@
 #: Requests a second by block.
 Loads: typing.TypeAlias = abc.Mapping[int, float]
 #: Requests a second that every block counts for besides its own.
-BASE_LOAD: typing.Final = 0.02
+BASE_LOAD: typing.Final = 0.005
 
 
 def is_new(entry: Range) -> bool:
@@ -78,7 +78,8 @@
 def load_of(first: int, last: int, loads: Loads) -> float:
     """Returns the requests a second on the keys from `first` to `last`."""
     blocks = range(block_of(first), block_of(last) + 1)
-    return sum(loads.get(block, 0) + BASE_LOAD for block in blocks)
+    busy = sum(load for block, load in loads.items() if block in blocks)
+    return busy + BASE_LOAD * len(blocks)
 
 
 def divide(
--- a/src/bilberryglade/_ownership/tests/test_ranges.py
+++ b/src/bilberryglade/_ownership/tests/test_ranges.py
@@ -1,5 +1,6 @@
 """Tables cover every key once, whatever happens to the owners."""
 
+import statistics
 import typing
 import unittest
 
@@ -148,6 +149,24 @@
         )
         self.assertLess(rest, 82)
 
+    def test_a_hot_block_does_not_stop_the_others(self) -> None:
+        """Beside an owner that cannot give, other owners still do."""
+        found = candidates('abcd')
+        table = numbered(
+            planning.plan((), found, {}, may_balance=False).table, 1
+        )
+        hot = ranges.block_of(table[0].first)
+        second = ranges.block_of(table[1].first)
+        loads: dict[int, float] = {hot: 60.0}
+        loads.update({second + place: 6.0 for place in range(0, 50, 10)})
+        for number in range(2, 12):
+            planned = planning.plan(table, found, loads, may_balance=True)
+            table = numbered(planned.table, number)
+        busy = planning.owner_loads(table, found, loads)
+        others = sorted(busy.values())[:-1]
+        most = planning.HEAVY_RATIO * statistics.fmean(others)
+        self.assertLessEqual(others[-1], most)
+
 
 class FenceTests(unittest.TestCase):
     """Fences of grants and releases."""
