--- a/src/bilberryglade/_knowledge/topics.py
+++ b/src/bilberryglade/_knowledge/topics.py
@@ -9,9 +9,9 @@
     from bilberryglade._knowledge import knowledge
 
 #: Where operators publish the configuration and take failure domains out.
-OPERATOR: typing.Final = 'keyed.op'
+OPERATOR: typing.Final = 'operator'
 #: Where targets list themselves.
-TARGETS: typing.Final = 'keyed.servers'
+TARGETS: typing.Final = 'targets'
 
 
 class Reading(typing.NamedTuple):
--- a/src/bilberryglade/_membership/candidacy.py
+++ b/src/bilberryglade/_membership/candidacy.py
@@ -14,7 +14,7 @@
 from bilberryglade.platform import store
 from bilberryglade_schema import fleet as messages
 
-TOPIC: typing.Final = 'keyed.coordinator'
+TOPIC: typing.Final = 'coordinator'
 KEY: typing.Final = 'lease'
 #: Seconds of the coordinator's silence from which its lease is looked at.
 SILENCE_SECONDS: typing.Final = 1.6
--- a/src/bilberryglade/_membership/enrolment.py
+++ b/src/bilberryglade/_membership/enrolment.py
@@ -18,9 +18,9 @@
 from bilberryglade.platform import store
 from bilberryglade_schema import fleet as messages
 
-KEYS_TOPIC: typing.Final = 'keyed.peer-keys'
+KEYS_TOPIC: typing.Final = 'peer-keys'
 KEYS_KEY: typing.Final = 'pair'
-MEMBERS_TOPIC: typing.Final = 'keyed.members'
+MEMBERS_TOPIC: typing.Final = 'members'
 #: Milliseconds for which a read of the members waits for news.
 WAIT_MS: typing.Final = 20_000
 RETRY_SECONDS: typing.Final = 0.4
--- a/src/bilberryglade/_observability/decisions.py
+++ b/src/bilberryglade/_observability/decisions.py
@@ -74,6 +74,7 @@
     sink = LineSink(lambda line: os.write(STANDARD_OUTPUT, line))
 
     def take(message: typing.Any) -> None:  # noqa: WPS430
+        """Writes one line of the library."""
         sink.take(_line(message.record, instance))
 
     loguru.logger.remove()
--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -19,7 +19,7 @@
 from bilberryglade.platform import store
 from bilberryglade_schema import fleet as messages
 
-TOPIC: typing.Final = 'keyed.assignment'
+TOPIC: typing.Final = 'assignment'
 KEY: typing.Final = 'tables'
 WRITER: typing.Final = 'coordinator'
 RETRY_SECONDS: typing.Final = 0.3
--- a/src/bilberryglade/platform/store.py
+++ b/src/bilberryglade/platform/store.py
@@ -8,6 +8,7 @@
 import result
 
 from bilberryglade._codec import codec
+from bilberryglade._knowledge import topics
 from bilberryglade._targets import sender
 from bilberryglade._values import outcomes, stored
 from bilberryglade.platform import records
@@ -27,6 +28,12 @@
     507: stored.Failure.refused,
 }
 
+#: Topics that the platform has named; every other one is the system's own.
+NAMED_TOPICS: typing.Final = {  # noqa: WPS407
+    topics.OPERATOR: 'keyed.op',
+    topics.TARGETS: 'keyed.servers',
+}
+
 Answer: typing.TypeAlias = result.Result[bytes, stored.Failure]
 Batch: typing.TypeAlias = result.Result[stored.Batch, stored.Failure]
 
@@ -51,7 +58,7 @@
 
         `unclear` leaves open whether it was, or will be, carried out.
         """
-        query: dict[str, str | int] = {'topic': topic, 'part': 0}
+        query: dict[str, str | int] = {'topic': _wire_topic(topic), 'part': 0}
         if condition.end is not None:
             query['at'] = condition.end
         if condition.writer:
@@ -75,7 +82,7 @@
     ) -> result.Result[int, stored.Failure]:
         """Fences off lower epochs of a writer; returns the topic's end."""
         query: dict[str, str | int] = {
-            'topic': topic,
+            'topic': _wire_topic(topic),
             'part': 0,
             'producer': writer,
             'epoch': epoch,
@@ -92,7 +99,7 @@
     async def read(self, topic: str, start: int, wait_ms: int) -> Batch:
         """Returns the records from `start`, as soon as there is one."""
         query: dict[str, str | int] = {
-            'topic': topic,
+            'topic': _wire_topic(topic),
             'part': 0,
             'from': start,
             'wait_ms': wait_ms,
@@ -142,7 +149,7 @@
         topic: str,
         after: str,
     ) -> result.Result[provider.NewestAnswer, stored.Failure]:
-        query: dict[str, str | int] = {'topic': topic, 'part': 0}
+        query: dict[str, str | int] = {'topic': _wire_topic(topic), 'part': 0}
         if after:
             query['after'] = after
         answer = await self._call('GET', 'log-newest', query, b'')
@@ -182,6 +189,11 @@
         )
 
 
+def _wire_topic(topic: str) -> str:
+    """Returns the name of a topic that keeps the newest record of each key."""
+    return NAMED_TOPICS.get(topic, f'keyed.{topic}')
+
+
 def _record_of(entry: provider.NewestItem) -> stored.Record:
     payload = base64.b64decode(entry['value'], validate=True)
     return stored.Record(entry['key'], entry['offset'], payload or None)
--- a/src/bilberryglade/platform/tests/test_store.py
+++ b/src/bilberryglade/platform/tests/test_store.py
@@ -7,7 +7,8 @@
 from bilberryglade._values import stored
 from bilberryglade.platform.tests import servers
 
-TOPIC = 'keyed.test'
+TOPIC = 'test'
+WIRE_TOPIC = f'keyed.{TOPIC}'
 
 
 class StoreTests(unittest.IsolatedAsyncioTestCase):
@@ -35,7 +36,7 @@
     async def test_more_keys_than_a_page(self) -> None:
         """All pages are read, with the end of the first."""
         for number in range(501):
-            self.store.service.model.write(TOPIC, f'k{number:03}', b'x')
+            self.store.service.model.write(WIRE_TOPIC, f'k{number:03}', b'x')
         batch = (await self.client.newest(TOPIC)).unwrap()
         self.assertEqual(len(batch.records), 501)
         self.assertEqual(batch.end, 501)
@@ -83,7 +84,7 @@
         """A read of expired records says so."""
         for payload in (b'1', b'2', b'3'):
             await self.client.append(TOPIC, 'a', payload)
-        query = {'topic': TOPIC}
+        query = {'topic': WIRE_TOPIC}
         self.store.service.model.partition(query).compact()
         read = await self.client.read(TOPIC, 0, 0)
         self.assertEqual(read, result.Err(stored.Failure.expired))
