--- a/src/bilberryglade/_delivery/tests/test_crash_records.py
+++ b/src/bilberryglade/_delivery/tests/test_crash_records.py
@@ -1,35 +1,15 @@
 """Requests that crash their targets are refused under any id."""
 
 import asyncio
-import typing
 import unittest
 from unittest import mock
 
 from bilberryglade._delivery import crash_records
-from bilberryglade._routing import admission
+from bilberryglade._routing.tests import samples
 from bilberryglade._values import clock
 from bilberryglade_schema import fleet as messages
 
 
-def request(request_id: str, **changes: typing.Any) -> admission.Incoming:
-    """Returns a request that comes again under other ids."""
-    incoming = admission.Incoming(
-        request_id=request_id,
-        host='h',
-        host_header='h',
-        method='GET',
-        path='/a/x',
-        query='',
-        headers=(),
-        body=b'',
-        api_key='key',
-        routing_key=5,
-        patience=1,
-        arrived_at=0,
-    )
-    return incoming._replace(**changes)
-
-
 def crash(target: str, found: str) -> messages.Crash:
     """Returns an instance's word that a target fell."""
     return {
@@ -46,7 +26,7 @@
     def setUp(self) -> None:
         """No target has fallen."""
         self.records = crash_records.CrashRecords(mock.Mock())
-        self.found = crash_records.fingerprint(request('1'))
+        self.found = crash_records.fingerprint(samples.incoming(request_id='1'))
 
     def fell(self, *targets: str) -> None:
         """Instances tell that targets fell."""
@@ -56,21 +36,27 @@
     def test_three_lives(self) -> None:
         """Three lives fell, whichever instances saw it: refused by any id."""
         self.fell('t/1', 'u/1')
-        self.assertFalse(self.records.is_quarantined(request('2')))
+        self.assertFalse(
+            self.records.is_quarantined(samples.incoming(request_id='2'))
+        )
         self.fell('t/2')
-        self.assertTrue(self.records.is_quarantined(request('3')))
+        self.assertTrue(
+            self.records.is_quarantined(samples.incoming(request_id='3'))
+        )
 
     def test_one_fall_told_often(self) -> None:
         """The fall of one target counts once."""
         self.fell('t/1', 't/1', 't/1', 't/1')
-        self.assertFalse(self.records.is_quarantined(request('2')))
+        self.assertFalse(
+            self.records.is_quarantined(samples.incoming(request_id='2'))
+        )
 
     def test_others_are_served(self) -> None:
         """Other paths, callers and bodies are not blamed."""
         self.fell('t/1', 't/2', 't/3')
         for changes in ({'path': '/a/y'}, {'api_key': 'k'}, {'body': b'x'}):
             with self.subTest(changes=changes):
-                other = request('1', **changes)
+                other = samples.incoming(**changes)
                 self.assertFalse(self.records.is_quarantined(other))
 
     def test_time(self) -> None:
@@ -78,7 +64,9 @@
         self.fell('t/1', 't/2', 't/3')
         later = clock.now() + crash_records.KEEP_SECONDS + 1
         with mock.patch.object(clock, 'now', return_value=later):
-            self.assertFalse(self.records.is_quarantined(request('2')))
+            self.assertFalse(
+                self.records.is_quarantined(samples.incoming(request_id='2'))
+            )
             self.records.forget_old()
         self.assertEqual(self.records.falls, {})
 
--- a/src/bilberryglade/_delivery/tests/test_router.py
+++ b/src/bilberryglade/_delivery/tests/test_router.py
@@ -5,6 +5,7 @@
 
 from bilberryglade._delivery import budget, router
 from bilberryglade._routing import admission, catalogue, splitting
+from bilberryglade._routing.tests import samples
 from bilberryglade._values import clock, outcomes, site
 
 BOUNDS: typing.Final = site.Bounds(
@@ -42,20 +43,7 @@
 def job(*, repeatable: bool, left: float = 1) -> router.Job:
     """Returns an admitted request with seconds left."""
     now = clock.now()
-    request = admission.Incoming(
-        request_id='1',
-        host='h',
-        host_header='h',
-        method='POST',
-        path='/a/',
-        query='',
-        headers=(),
-        body=b'',
-        api_key='',
-        routing_key=None,
-        patience=1,
-        arrived_at=now,
-    )
+    request = samples.incoming(arrived_at=now)
     admitted = admission.Admitted(route(repeatable=repeatable), None)
     return router.Job(request, admitted, 's', now + left, now)
 
--- a/src/bilberryglade/_targets/tests/test_choosing.py
+++ b/src/bilberryglade/_targets/tests/test_choosing.py
@@ -3,7 +3,8 @@
 import typing
 import unittest
 
-from bilberryglade._targets import choosing, directory, standing
+from bilberryglade._targets import choosing, standing
+from bilberryglade._targets.tests import samples
 from bilberryglade._values import outcomes
 
 NOW: typing.Final = 100.0
@@ -16,18 +17,7 @@
         for field in ('cold_until', 'is_draining', 'failure_domain')
         if field in known
     }
-    target = directory.Target(
-        name=name,
-        born=1,
-        service='s',
-        address='127.0.0.1:1',
-        failure_domain='a',
-        places=2,
-        is_draining=False,
-        cold_until=0,
-        sequence=1,
-        offset=10,
-    )._replace(**changes)
+    target = samples.target(name=name, offset=10, **changes)
     may_warm = known.pop('may_warm', True)
     return choosing.View(target, standing.Standing(**known), may_warm)
 
--- a/src/bilberryglade/_targets/tests/test_directory.py
+++ b/src/bilberryglade/_targets/tests/test_directory.py
@@ -3,23 +3,7 @@
 import unittest
 
 from bilberryglade._targets import directory
-
-
-def target(**changes: object) -> directory.Target:
-    """Returns a target that is ready and warm."""
-    ready = directory.Target(
-        name='t',
-        born=10,
-        service='s',
-        address='127.0.0.1:1',
-        failure_domain='a',
-        places=2,
-        is_draining=False,
-        cold_until=0,
-        sequence=5,
-        offset=100,
-    )
-    return ready._replace(**changes)  # type: ignore[arg-type]
+from bilberryglade._targets.tests import samples
 
 
 class PutTests(unittest.TestCase):
@@ -27,7 +11,7 @@
 
     def test_order(self) -> None:
         """Offset, life and sequence decide, in this order."""
-        known = directory.put(directory.Directory(), target())
+        known = directory.put(directory.Directory(), samples.target())
         cases = (
             ('newer', {'offset': 101, 'sequence': 6}, True),
             ('same offset', {'sequence': 6}, False),
@@ -37,7 +21,7 @@
         )
         for name, changes, is_taken in cases:
             with self.subTest(name=name):
-                new = target(is_draining=True, **changes)
+                new = samples.target(is_draining=True, **changes)
                 after = directory.put(known, new).targets['t']
                 self.assertEqual(after.is_draining, is_taken)
 
@@ -47,7 +31,7 @@
 
     def setUp(self) -> None:
         """One target is listed."""
-        self.known = directory.put(directory.Directory(), target())
+        self.known = directory.put(directory.Directory(), samples.target())
 
     def test_at_once(self) -> None:
         """With the store at hand, a dropped entry means gone."""
@@ -64,13 +48,13 @@
         after = directory.drop(self.known, 't', 101, keep_until=50)
         self.assertIn('t', directory.expire(after, 49).targets)
         self.assertNotIn('t', directory.expire(after, 50).targets)
-        back = directory.put(after, target(offset=102, sequence=6))
+        back = directory.put(after, samples.target(offset=102, sequence=6))
         self.assertIn('t', directory.expire(back, 60).targets)
 
     def test_leaving_is_never_doubted(self) -> None:
         """A target that said it leaves is gone with its entry."""
         leaving = directory.put(
-            self.known, target(offset=101, sequence=6, is_draining=True)
+            self.known, samples.target(offset=101, sequence=6, is_draining=True)
         )
         after = directory.drop(leaving, 't', 102, keep_until=50)
         self.assertNotIn('t', after.targets)
--- a/src/bilberryglade/platform/tests/test_exchange.py
+++ b/src/bilberryglade/platform/tests/test_exchange.py
@@ -3,7 +3,7 @@
 import unittest
 
 from bilberryglade._delivery import router
-from bilberryglade._routing import admission
+from bilberryglade._routing.tests import samples
 from bilberryglade._values import outcomes
 from bilberryglade.platform import exchange, front, headers
 
@@ -24,24 +24,6 @@
     return outcomes.Answered(status, found, b'body')
 
 
-def incoming() -> admission.Incoming:
-    """Returns a caller's request."""
-    return admission.Incoming(
-        request_id=ID,
-        host='h',
-        host_header='h',
-        method='POST',
-        path='/a/',
-        query='',
-        headers=(),
-        body=b'',
-        api_key='',
-        routing_key=None,
-        patience=1,
-        arrived_at=0,
-    )
-
-
 class UnderstoodTests(unittest.TestCase):
     """Answers of targets."""
 
@@ -102,13 +84,17 @@
         )
         for outcome, status in cases:
             with self.subTest(outcome=outcome):
-                given = front.response_of(incoming(), router.Delivered(outcome))
+                given = front.response_of(
+                    samples.incoming(), router.Delivered(outcome)
+                )
                 self.assertEqual(given.status_code, status)
                 self.assertEqual(given.headers[headers.REQUEST_ID], ID)
 
     def test_answer_unchanged(self) -> None:
         """A target's status, mark and body go on as they are."""
-        given = front.response_of(incoming(), router.Delivered(answer(500)))
+        given = front.response_of(
+            samples.incoming(), router.Delivered(answer(500))
+        )
         self.assertEqual(given.status_code, 500)
         self.assertEqual(given.headers[headers.SIGNATURE], 's')
         self.assertEqual(given.body, b'body')
@@ -118,5 +104,5 @@
         refused = router.Delivered(
             outcomes.NotRun(outcomes.Reason.queue_full), retry_after_ms=250
         )
-        given = front.response_of(incoming(), refused)
+        given = front.response_of(samples.incoming(), refused)
         self.assertEqual(given.headers[headers.RETRY_AFTER], '0.250')
