--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -160,12 +160,6 @@
         self.desks = desks.Desks(
             self.fleet, self.candidacy, self.instances, self.pools.answer
         )
-        self.reporter = key_loads.Reporter(
-            self.fleet,
-            self.candidacy,
-            self.load_sum.take,
-            lambda: self.sends.seconds(),  # noqa: PLW0108
-        )
         self.candidacy.on_start.append(self.pools.begin)
         self.candidacy.on_start.append(self.lead)
         self.sends = sends.Sends(
@@ -174,6 +168,12 @@
             exchange.TargetExchange(self.targets),
             self.cold_room,
         )
+        self.reporter = key_loads.Reporter(
+            self.fleet,
+            self.candidacy,
+            self.load_sum.take,
+            self.sends.seconds,
+        )
         self.crashes = crash_records.CrashRecords(self.fleet)
         self.sends.on_loss = self.crashes.examine
         self.router = router.Router(
