--- a/src/bilberryglade/_delivery/crash_records.py
+++ b/src/bilberryglade/_delivery/crash_records.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import typing
+from collections import abc
 
 import loguru
 import xxhash
@@ -35,6 +36,8 @@
         #: By fingerprint: the lives that fell, with the seconds of the fall.
         self.falls: dict[str, dict[str, float]] = {}
         self.probes: set[asyncio.Task[None]] = set()
+        #: Called with the name of each life of a target that fell.
+        self.on_fall: abc.Callable[[str], None] = lambda _: None
 
     def is_quarantined(self, request: admission.Incoming) -> bool:
         """Tells whether a request is refused because of what it did."""
@@ -56,6 +59,7 @@
 
     def hear(self, crash: messages.Crash) -> None:
         """Takes in a fall that this or another instance saw."""
+        self.on_fall(crash['target'])
         falls = self.falls.setdefault(crash['fingerprint'], {})
         falls.setdefault(crash['target'], clock.now())
         if len(falls) == MOST_FALLS:
@@ -85,7 +89,7 @@
             'kind': 'crash',
             'sender': self.members.own.name,
             'fingerprint': fingerprint(request),
-            'target': f'{target.name}/{target.born}',
+            'target': life_of(target),
         }
         self.hear(crash)
         self.members.send_all(crash)
@@ -99,6 +103,11 @@
     return str(digest.hexdigest())
 
 
+def life_of(target: directory.Target) -> str:
+    """Returns the name of one life of a target."""
+    return f'{target.name}/{target.born}'
+
+
 async def refuses(address: str) -> bool:
     """Tells whether nothing listens at an address."""
     host, _, port = address.rpartition(':')
--- a/src/bilberryglade/_delivery/sends.py
+++ b/src/bilberryglade/_delivery/sends.py
@@ -101,6 +101,20 @@
             self.on_loss(request, target)
         return sent.outcome
 
+    def doubt(self, life: str) -> None:
+        """Takes in that some instance saw a life of a target fall.
+
+        It may be back before its new entry is read, and is cold then.
+        """
+        until = clock.now() + standing.DOUBT_SECONDS
+        listed = self.reader.known.directory
+        for target in listed.targets.values():
+            if f'{target.name}/{target.born}' == life:
+                known = self.view(target).standing
+                self.standings[target.name, target.born] = known._replace(
+                    doubtful_until=until
+                )
+
     def seconds(self) -> dict[str, float]:
         """Returns how long work takes at each target that is known."""
         return {
--- /dev/null
+++ b/src/bilberryglade/_delivery/tests/test_sends.py
@@ -0,0 +1,43 @@
+"""Targets that fell come back cold before their entry says so."""
+
+import unittest
+from unittest import mock
+
+from bilberryglade._delivery import crash_records, sends
+from bilberryglade._knowledge import knowledge
+from bilberryglade._membership import fleet
+from bilberryglade._targets import choosing, directory
+from bilberryglade._targets.tests import samples
+from bilberryglade._values import clock
+
+
+class FallTests(unittest.TestCase):
+    """A fall that another instance saw."""
+
+    def setUp(self) -> None:
+        """One warm target is known, and was not used yet."""
+        self.target = samples.target()
+        listed = directory.put(directory.Directory(), self.target)
+        reader = mock.Mock(known=knowledge.Knowledge(directory=listed))
+        own = fleet.Member('b', 'b1', '127.0.0.1:1', 'x')
+        members = fleet.Fleet(own, mock.Mock())
+        self.sends = sends.Sends(
+            reader, members, mock.Mock(), cold_room=lambda _: 20
+        )
+
+    def is_cold(self) -> bool:
+        """Tells whether the target counts as cold here."""
+        view = self.sends.view(self.target)
+        return choosing.is_cold(view, clock.now())
+
+    def test_word_of_another_instance(self) -> None:
+        """From that word on the target gets a cold one's rate."""
+        self.assertFalse(self.is_cold())
+        self.sends.doubt(crash_records.life_of(self.target))
+        self.assertTrue(self.is_cold())
+
+    def test_another_life(self) -> None:
+        """The fall of an earlier life says nothing of this one."""
+        earlier = self.target._replace(born=self.target.born - 1)
+        self.sends.doubt(crash_records.life_of(earlier))
+        self.assertFalse(self.is_cold())
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -176,6 +176,7 @@
         )
         self.crashes = crash_records.CrashRecords(self.fleet)
         self.sends.on_loss = self.crashes.examine
+        self.crashes.on_fall = self.sends.doubt
         self.router = router.Router(
             self.place,
             self.reader,
