A target's report of its load counts the answered request itself

Cause: a report says how many requests run at a target, the answered one among them, and the instance added one where it had to take one off. The fourth figure of a report is the target's pace, its usual speed included; the time of work is now kept at the pace 1 and told by the last pace, which fades to the usual one. Ruled out: quotas (the organisation above its rate got its rate to the token) and the speed at which load is evened out, which matters for hot keys alone.

--- a/src/bilberryglade/_delivery/sends.py
+++ b/src/bilberryglade/_delivery/sends.py
@@ -118,7 +118,7 @@
     def seconds(self) -> dict[str, float]:
         """Returns how long work takes at each target that is known."""
         return {
-            life[0]: round(known.seconds, 4)
+            life[0]: round(standing.usual_seconds(known), 4)
             for life, known in self.standings.items()
             if known.seconds
         }
--- a/src/bilberryglade/_targets/choosing.py
+++ b/src/bilberryglade/_targets/choosing.py
@@ -67,19 +67,23 @@
     best = min(usable, key=lambda view: _cost(view, demand, now))
     places = best.target.places
     waiting = standing.waiting_seconds(best.standing, places, now)
-    if waiting > patience(best.standing, demand):
+    if waiting > patience(best.standing, demand, now):
         return Refusal(outcomes.Reason.queue_full, _retry_in(waiting))
     return best
 
 
-def patience(known: standing.Standing, demand: Demand) -> float:
+def patience(
+    known: standing.Standing,
+    demand: Demand,
+    now: float,
+) -> float:
     """Returns how long a request may wait at a target.
 
     A request that can still be answered in time waits only as long as that
     holds: a longer queue would make those behind it late as well. One that
     is late already gets what is left of its caller's time.
     """
-    work = standing.typical_seconds(known)
+    work = standing.typical_seconds(known, now)
     in_time = demand.aim_left - work * WORK_FACTOR
     if in_time > 0:
         return in_time
--- a/src/bilberryglade/_targets/standing.py
+++ b/src/bilberryglade/_targets/standing.py
@@ -11,6 +11,8 @@
 REPORT_LIFE_SECONDS: typing.Final = 0.25
 #: Weight of a new observation in a moving average.
 NEW_WEIGHT: typing.Final = 0.15
+#: The same for the usual pace, which counts all reports evenly at first.
+NEW_PACE_WEIGHT: typing.Final = 0.05
 #: Seconds that an exchange with an unknown target is expected to take.
 UNKNOWN_SECONDS: typing.Final = 0.1
 #: First pause after a failed exchange, and the longest one.
@@ -20,6 +22,8 @@
 BUSY_WEIGHT: typing.Final = 0.3
 #: Seconds after a refused connection in which a target may come back cold.
 DOUBT_SECONDS: typing.Final = 3.0
+#: Bound on a reported slowness; what is below it is taken for an error.
+LEAST_SLOWNESS: typing.Final = 0.05
 #: Share of failed answers that doubles the expected cost of a target.
 FAILURE_WEIGHT: typing.Final = 4.0
 
@@ -27,6 +31,7 @@
 class Report(typing.NamedTuple):
     """How busy a target said it was, in an answer."""
 
+    #: Requests at work, the answered one included.
     running: int
     waiting: int
     #: How long work takes on its machine now, 1 as usual.
@@ -43,9 +48,14 @@
     reported_at: float = 0
     #: Moving average of `others`.
     usual_others: float = 0
-    #: Moving average of exchanges that did not wait; 0 before the first.
+    #: Moving average of exchanges that did not wait, at a slowness of 1; 0
+    #: before the first.
     seconds: float = 0
+    #: By the last report.
     slowness: float = 1.0
+    #: Moving average of `slowness`, and the reports in it.
+    usual_slowness: float = 1.0
+    reports: int = 0
     #: Moving average: 1 for a failed answer, 0 for a good one.
     failing: float = 0
     #: Failed exchanges in a row.
@@ -82,14 +92,18 @@
     known = standing._replace(failing=failing, losses=0, paused_until=0)
     if report is None:
         return known._replace(seconds=_mixed_seconds(known, seconds))
-    others = max(report.running + report.waiting - known.outstanding + 1, 0)
+    # The report still counts the answered request, `outstanding` does not.
+    others = max(report.running + report.waiting - 1 - known.outstanding, 0)
     if not report.waiting:
-        known = known._replace(seconds=_mixed_seconds(known, seconds))
+        work = seconds / max(report.slowness, LEAST_SLOWNESS)
+        known = known._replace(seconds=_mixed_seconds(known, work))
     return known._replace(
         others=others,
         reported_at=now,
         usual_others=_mixed(known.usual_others, others),
         slowness=report.slowness,
+        usual_slowness=_mixed_pace(known, report.slowness),
+        reports=known.reports + 1,
     )
 
 
@@ -137,15 +151,24 @@
 
 def load(standing: Standing, now: float) -> float:
     """Returns the requests expected at the target now."""
-    age = max(now - standing.reported_at, 0)
-    trust = math.exp(-age / REPORT_LIFE_SECONDS)
+    trust = _trust(standing, now)
     others = standing.others * trust + standing.usual_others * (1 - trust)
     return standing.outstanding + others
 
 
-def typical_seconds(standing: Standing) -> float:
-    """Returns how long work takes that does not wait."""
-    return standing.seconds or UNKNOWN_SECONDS
+def typical_seconds(standing: Standing, now: float) -> float:
+    """Returns how long work that does not wait takes now."""
+    trust = _trust(standing, now)
+    pace = standing.slowness * trust + standing.usual_slowness * (1 - trust)
+    return (standing.seconds or UNKNOWN_SECONDS) * pace
+
+
+def usual_seconds(standing: Standing) -> float:
+    """Returns how long work that does not wait takes in the mean.
+
+    It is 0 before the first exchange.
+    """
+    return standing.seconds * standing.usual_slowness
 
 
 def waiting_seconds(standing: Standing, places: int, now: float) -> float:
@@ -153,17 +176,23 @@
     ahead = load(standing, now) - places + 1
     if ahead <= 0:
         return 0
-    return ahead / places * typical_seconds(standing)
+    return ahead / places * typical_seconds(standing, now)
 
 
 def cost(standing: Standing, places: int, now: float) -> float:
     """Returns the time that one more request is expected to take in all."""
     busy = load(standing, now) / places
-    usual = typical_seconds(standing) * (1 + busy * BUSY_WEIGHT)
+    usual = typical_seconds(standing, now) * (1 + busy * BUSY_WEIGHT)
     penalty = 1 + FAILURE_WEIGHT * standing.failing
     return (usual + waiting_seconds(standing, places, now)) * penalty
 
 
+def _trust(standing: Standing, now: float) -> float:
+    """Returns the weight of the last report, from 1 down to 0."""
+    age = max(now - standing.reported_at, 0)
+    return math.exp(-age / REPORT_LIFE_SECONDS)
+
+
 def _mixed(before: float, new: float) -> float:
     return before + (new - before) * NEW_WEIGHT
 
@@ -172,3 +201,9 @@
     if not standing.seconds:
         return seconds
     return _mixed(standing.seconds, seconds)
+
+
+def _mixed_pace(standing: Standing, slowness: float) -> float:
+    weight = max(1 / (standing.reports + 1), NEW_PACE_WEIGHT)
+    before = standing.usual_slowness
+    return before + (slowness - before) * weight
--- a/src/bilberryglade/_targets/tests/test_choosing.py
+++ b/src/bilberryglade/_targets/tests/test_choosing.py
@@ -111,11 +111,11 @@
     def test_late_ones_get_what_time_they_have(self) -> None:
         """Who is late already may wait longer than who can be in time."""
         known = standing.Standing(seconds=0.09)
-        fresh = choosing.patience(known, demand())
-        late = choosing.patience(known, demand(aim_left=-0.1))
+        fresh = choosing.patience(known, demand(), NOW)
+        late = choosing.patience(known, demand(aim_left=-0.1), NOW)
         self.assertGreater(late, fresh)
         hopeless = choosing.patience(
-            known, demand(aim_left=-0.1, time_left=0.05)
+            known, demand(aim_left=-0.1, time_left=0.05), NOW
         )
         self.assertEqual(hopeless, 0)
 
@@ -123,6 +123,54 @@
 class ReportTests(unittest.TestCase):
     """Load reports fade."""
 
+    def test_the_answered_request_is_no_load(self) -> None:
+        """A target that had nothing else is free after its answer."""
+        idle = standing.answered(
+            standing.Standing(),
+            0.1,
+            standing.Report(running=1, waiting=0),
+            is_good=True,
+            now=NOW,
+        )
+        self.assertEqual(standing.load(idle, NOW), 0)
+        self.assertEqual(standing.load(idle, NOW + 9), 0)
+
+    def test_own_and_others_are_told_apart(self) -> None:
+        """What this instance has under way is not counted twice."""
+        busy = standing.answered(
+            standing.Standing(outstanding=1),
+            0.1,
+            standing.Report(running=2, waiting=3),
+            is_good=True,
+            now=NOW,
+        )
+        self.assertEqual(standing.load(busy, NOW), 4)
+
+    def test_pace_of_the_moment(self) -> None:
+        """A target that is slow just now is expected to be its usual again."""
+        known = standing.Standing()
+        for number in range(40):
+            pace = 3.0 if number % 5 == 0 else 1.0
+            known = standing.answered(
+                known,
+                0.1 * pace,
+                standing.Report(1, 0, pace),
+                is_good=True,
+                now=NOW + number,
+            )
+        then = NOW + 40
+        slow = standing.answered(
+            known, 0.3, standing.Report(1, 0, 3.0), is_good=True, now=then
+        )
+        self.assertAlmostEqual(
+            standing.typical_seconds(slow, then), 0.3, delta=0.03
+        )
+        usual = standing.typical_seconds(slow, then + 5)
+        self.assertAlmostEqual(usual, 0.14, delta=0.03)
+        self.assertAlmostEqual(
+            usual, standing.usual_seconds(slow), delta=0.001
+        )
+
     def test_own_requests_count_in_full(self) -> None:
         """An old report loses its weight; what is under way does not."""
         busy = standing.answered(
@@ -134,7 +182,7 @@
         )
         soon = standing.load(busy, NOW)
         later = standing.load(busy, NOW + 2)
-        self.assertGreater(soon, 7)
+        self.assertEqual(soon, 7)
         self.assertLess(later, soon / 2)
         self.assertGreaterEqual(later, 1)
 
