Each takeover of the tables writes under an epoch of its own; successors know leases

Cause: a coordinator that met a conflict took its tables over again under the epoch of its term and counted its writes from 1. A repeated answer would also have given new ranges an old fence. The first conflict came from a write that was given up with the lease: the next one left a gap. A second cause of keys without an owner: each new coordinator took every earlier owner to hold a whole lease anew, and had no address of those no longer listed. Records now say what is left of such leases, and where keys can be taken back. With them: loads counted in full by a new coordinator; a process that restarts where the holder of the lease listened claims at once; nobody who denies a key is asked again on the same tables; `bilberryglade explain ID FILE...`, by which the causes were found.

--- a/src/bilberryglade/_commands/catalogue.py
+++ b/src/bilberryglade/_commands/catalogue.py
@@ -3,6 +3,7 @@
 import typing
 
 from bilberryglade._commands import (
+    explain,
     keys,
     rules,
     run,
@@ -13,6 +14,7 @@
 )
 
 REGISTERED: typing.Final = (
+    explain,
     keys,
     rules,
     run,
--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -37,6 +37,9 @@
 RETURN_PART: typing.Final = 0.3
 
 
+NOT_OWNER: typing.Final = outcomes.NotRun(outcomes.Reason.not_owner)
+
+
 class Delivered(typing.NamedTuple):
     """What became of a request, and what decided it."""
 
@@ -175,16 +178,9 @@
         """Sends a request until it is answered or may not be sent again."""
         outcome: outcomes.Outcome
         while True:
-            chosen = await self._choose(job, frozenset(delivered.targets))
+            chosen = await self._choose(job, delivered)
             if isinstance(chosen, choosing.Refusal):
-                if delivered.targets:
-                    return delivered
-                refused = outcomes.NotRun(chosen.reason)
-                return self._refused(
-                    job.request,
-                    delivered._replace(outcome=refused),
-                    chosen.retry_seconds,
-                )
+                return self._left(job, delivered, chosen)
             if delivered.targets and not self._spend(job.service):
                 self._give_back(chosen)
                 return delivered
@@ -202,6 +198,20 @@
             if not may_repeat(job, delivered):
                 return self._with_return(job, delivered)
 
+    def _left(
+        self,
+        job: Job,
+        delivered: Delivered,
+        refusal: choosing.Refusal,
+    ) -> Delivered:
+        """Returns what became of a request that no target can have now."""
+        if not delivered.targets:
+            refused = outcomes.NotRun(refusal.reason)
+            delivered = delivered._replace(outcome=refused)
+        if isinstance(delivered.outcome, outcomes.NotRun):
+            return self._refused(job.request, delivered, refusal.retry_seconds)
+        return delivered
+
     def _seconds(self, job: Job, delivered: Delivered) -> float:
         """Returns how long a target has, which is all the time there is.
 
@@ -227,13 +237,14 @@
     async def _choose(
         self,
         job: Job,
-        tried: frozenset[str],
+        delivered: Delivered,
     ) -> Chosen | choosing.Refusal:
         service = self._service(job.service)
         if service is None or not service.is_partitioned:
+            tried = frozenset(delivered.targets)
             return await self._choose_among(job, tried)
         # The owner of a key is the only one that may be tried again.
-        owner = await self._owner(job)
+        owner = await self._owner(job, delivered)
         if isinstance(owner, choosing.Refusal):
             return owner
         return await self._permitted(job, [owner], frozenset(), owner)
@@ -314,17 +325,31 @@
             abandoned = endings.Ended(endings.Ending.abandoned)
             self.permits.end(chosen.permitted, abandoned)
 
-    async def _owner(self, job: Job) -> directory.Target | choosing.Refusal:
-        """Waits shortly for the owner of a key that is being moved."""
+    async def _owner(
+        self,
+        job: Job,
+        delivered: Delivered,
+    ) -> directory.Target | choosing.Refusal:
+        """Waits shortly for the owner of a key that is being moved.
+
+        Who has just said that it does not own the key is not asked again on
+        the tables that named it.
+        """
         key = job.request.routing_key
         if key is None:
             return choosing.Refusal(outcomes.Reason.key_missing, 0)
-        self.count_key(job.service, key)
+        if not delivered.targets:
+            self.count_key(job.service, key)
+        stale = owners.Tables()
+        if delivered.outcome == NOT_OWNER:
+            stale = self.keeper.tables
         until = min(clock.now() + MOVING_SECONDS, job.deadline)
         while True:
-            owned = owners.find(self.keeper.tables, job.service, key)
+            tables = self.keeper.tables
+            owned = owners.find(tables, job.service, key)
             target = None if owned is None else self._target(owned)
-            if owned is not None and target and not owned.is_moving:
+            is_known = owned is not None and not owned.is_moving
+            if target and is_known and owners.is_newer(tables, stale):
                 return target
             if clock.now() >= until:
                 return choosing.Refusal(
--- a/src/bilberryglade/_membership/candidacy.py
+++ b/src/bilberryglade/_membership/candidacy.py
@@ -124,9 +124,8 @@
 
     async def _look(self) -> None:
         is_read = await self._read()
-        own = self.members.own
         may_claim = is_read and leadership.may_claim(
-            self.state, own.name, own.boot, clock.now()
+            self.state, self.members.own.address, clock.now()
         )
         if may_claim:
             seen = self.state.seen
@@ -175,6 +174,7 @@
         claim: messages.Claim = {
             'holder': self.members.own.name,
             'boot': self.members.own.boot,
+            'address': self.members.own.address,
             'sequence': self.sequence,
             'is_resigned': is_resigned,
         }
@@ -215,6 +215,7 @@
                 offset=record.offset,
                 holder=claim.ok_value['holder'],
                 boot=claim.ok_value['boot'],
+                address=claim.ok_value['address'],
                 sequence=claim.ok_value['sequence'],
                 is_resigned=claim.ok_value['is_resigned'],
                 first_seen=now,
--- a/src/bilberryglade/_membership/leadership.py
+++ b/src/bilberryglade/_membership/leadership.py
@@ -33,6 +33,8 @@
     offset: int
     holder: str
     boot: str
+    #: Where it listens for messages of instances.
+    address: str
     #: Counts the claims of one process.
     sequence: int
     is_resigned: bool
@@ -81,14 +83,18 @@
     return state._replace(seen=seen)
 
 
-def may_claim(state: State, name: str, boot: str, now: float) -> bool:
-    """Tells whether no lease of another instance can hold at `now`."""
+def may_claim(state: State, address: str, now: float) -> bool:
+    """Tells whether no lease of another process can hold at `now`.
+
+    `address` is where this process listens: whoever listened there before it
+    has ended, and its claim with it.
+    """
     if state.role is not Role.follower:
         return False
     seen = state.seen
     if seen is None or seen.is_resigned:
         return True
-    if (seen.holder, seen.boot) == (name, boot):
+    if seen.address == address:
         return True
     lease = LEASE_SECONDS * (1 + DRIFT_PART) + MARGIN_SECONDS
     return now > seen.first_seen + lease
--- a/src/bilberryglade/_membership/tests/test_leadership.py
+++ b/src/bilberryglade/_membership/tests/test_leadership.py
@@ -37,6 +37,7 @@
             offset=len(self.claims) - 1,
             holder=holder,
             boot=holder,
+            address=holder,
             sequence=sequence,
             is_resigned=False,
             first_seen=self.now,
@@ -53,7 +54,7 @@
         holds = leadership.holds(state, self.now)
         if not holds:
             state = leadership.lost(state)
-            if not leadership.may_claim(state, name, name, self.now):
+            if not leadership.may_claim(state, name, self.now):
                 self.states[name] = state
                 return
         end = 0 if state.seen is None else state.seen.offset + 1
@@ -129,7 +130,7 @@
 
     def seen(self, **changes: typing.Any) -> leadership.State:
         """Returns the state of `a` after it read a claim of `b` at 10 s."""
-        claim = leadership.Seen(4, 'b', 'b1', 3, False, 10)
+        claim = leadership.Seen(4, 'b', 'b1', 'at b', 3, False, 10)
         return leadership.observe(leadership.State(), claim._replace(**changes))
 
     def test_table(self) -> None:
@@ -141,13 +142,19 @@
             ('at the end of the lease', self.seen(), 10 + lease, False),
             ('after it', self.seen(), 10.2 + lease * 1.02, True),
             ('resigned', self.seen(is_resigned=True), 10, True),
-            ('own process', self.seen(holder='a', boot='a1'), 10, True),
-            ('own earlier life', self.seen(holder='a', boot='a0'), 10, False),
+            ('own process', self.seen(holder='a', address='at a'), 10, True),
+            (
+                'earlier life here',
+                self.seen(boot='b0', address='at a'),
+                10,
+                True,
+            ),
+            ('own name elsewhere', self.seen(holder='a', boot='a0'), 10, False),
             ('stopping', leadership.resigned(self.seen()), 99, False),
         )
         for name, state, now, allowed in cases:
             with self.subTest(name=name):
-                given = leadership.may_claim(state, 'a', 'a1', now)
+                given = leadership.may_claim(state, 'at a', now)
                 self.assertEqual(given, allowed)
 
     def test_repeated_reading(self) -> None:
@@ -162,7 +169,7 @@
 
     def test_a_claim_that_was_told_of(self) -> None:
         """Its lease is counted from when its holder told of it first."""
-        claim = leadership.Seen(4, 'b', 'b1', 3, False, 10)
+        claim = leadership.Seen(4, 'b', 'b1', 'at b', 3, False, 10)
         told = leadership.Told(4, 8.5)
         dated = leadership.dated(claim, told)
         assert dated is not None
--- a/src/bilberryglade/_ownership/holds.py
+++ b/src/bilberryglade/_ownership/holds.py
@@ -141,9 +141,12 @@
     born = lives.get(hold.owner.target, hold.owner.born)
     if born > hold.owner.born:
         return False
-    if hold.is_released:
-        return now < hold.unanswered_until
-    return now < hold.until
+    return now < end_of(hold)
+
+
+def end_of(hold: Hold) -> float:
+    """Returns when the target holds the keys no more, in seconds."""
+    return hold.unanswered_until if hold.is_released else hold.until
 
 
 def without_ended(
--- a/src/bilberryglade/_ownership/key_loads.py
+++ b/src/bilberryglade/_ownership/key_loads.py
@@ -104,6 +104,8 @@
     def __init__(self) -> None:
         """Has no report."""
         self.blocks: dict[str, dict[int, Load]] = {}
+        #: Seconds at which the first requests of each service were told.
+        self.counted_since: dict[str, float] = {}
         #: Seconds that work takes, by target; the newest word counts.
         self.seconds: dict[str, float] = {}
 
@@ -113,6 +115,7 @@
         self.seconds.update(report['target_seconds'])
         for service, counts in report['key_counts'].items():
             blocks = self.blocks.setdefault(service, {})
+            self.counted_since.setdefault(service, now - REPORT_SECONDS)
             for name, count in counts.items():
                 block = int(name)
                 known = blocks.get(block, Load(0, 0, now))
@@ -130,8 +133,9 @@
             for block, known in faded.items()
             if known.usual > LEAST_LOAD
         }
+        seconds = now - self.counted_since.get(service, now)
         return {
-            block: rate_of(known)
+            block: rate_of(known, seconds)
             for block, known in self.blocks[service].items()
         }
 
@@ -144,12 +148,24 @@
         }
 
 
-def rate_of(load: Load) -> float:
-    """Returns the load that counts: the usual one, unless it has changed."""
-    expected = math.sqrt((load.usual + 1 / SUDDEN_SECONDS) / SUDDEN_SECONDS)
-    if abs(load.sudden - load.usual) > SURPRISE_DEVIATIONS * expected:
-        return load.sudden
-    return load.usual
+def rate_of(load: Load, counted_seconds: float) -> float:
+    """Returns the load that counts: the usual one, unless it has changed.
+
+    `counted_seconds` is the time since the first count; what was before it is
+    missing in the fading counts.
+    """
+    usual = load.usual / _whole(counted_seconds, USUAL_SECONDS)
+    sudden = load.sudden / _whole(counted_seconds, SUDDEN_SECONDS)
+    expected = math.sqrt((usual + 1 / SUDDEN_SECONDS) / SUDDEN_SECONDS)
+    if abs(sudden - usual) > SURPRISE_DEVIATIONS * expected:
+        return sudden
+    return usual
+
+
+def _whole(counted_seconds: float, fading_seconds: float) -> float:
+    """Returns the part of a steady load that a fading count holds by now."""
+    counted = max(counted_seconds, REPORT_SECONDS)
+    return 1 - math.exp(-counted / fading_seconds)
 
 
 def _counted(load: Load, count: int, now: float) -> Load:
--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -76,12 +76,17 @@
         #: Called when a range was granted to its owner for the first time.
         self.on_first_grant: abc.Callable[[], None] = _nothing
 
-    def begin(self, held: abc.Mapping[str, abc.Iterable[ranges.Range]]) -> None:
+    def begin(
+        self,
+        held: abc.Mapping[str, abc.Iterable[owners.Former]],
+        addresses: owners.Addresses,
+    ) -> None:
         """Starts a term: each range of `held` may be leased to its owner."""
-        until = leased.lease_end(clock.now(), self.longest_lease)
+        now = clock.now()
+        self.addresses.update(addresses)
         self.holds = {
-            service: tuple(_held(entry, until) for entry in entries)
-            for service, entries in held.items()
+            service: tuple(_held(former, now) for former in found)
+            for service, found in held.items()
         }
         self.grants.clear()
         self.fenced.clear()
@@ -118,6 +123,14 @@
             service: leased.without_ended(known, lives, now)
             for service, known in self.holds.items()
         }
+        holders = {
+            hold.owner for known in self.holds.values() for hold in known
+        }
+        self.addresses = {
+            owner: address
+            for owner, address in self.addresses.items()
+            if owner in holders
+        }
 
     def keep_only(self, slots: abc.Set[Slot]) -> None:
         """Forgets the progress of ranges that are not wanted any more."""
@@ -150,6 +163,31 @@
             self.holds.get(service, ()), entry, self.lives(), clock.now()
         )
 
+    def former(
+        self,
+        service: str,
+        table: ranges.Table,
+    ) -> list[owners.Former]:
+        """Returns earlier owners that may still hold keys of a table."""
+        now = clock.now()
+        held = {
+            hold for entry in table for hold in self.blocking(service, entry)
+        }
+        return [
+            owners.Former(
+                ranges.Range(hold.first, hold.last, hold.owner, hold.fence),
+                leased.end_of(hold) - now,
+            )
+            for hold in sorted(held)
+        ]
+
+    def known_addresses(self) -> dict[ranges.Owner, str]:
+        """Returns where each known life of a target takes orders."""
+        known = self.reader.known
+        listed = known.directory.targets.values()
+        newest = {owner_of(target): target.address for target in listed}
+        return {**self.addresses, **newest}
+
     def _start(self, slot: Slot) -> None:
         task = asyncio.create_task(self._serve(*slot))
         self.busy[slot] = task
@@ -191,7 +229,7 @@
         address = self.addresses.get(hold.owner)
         if target is not None:
             address = target.address
-        if hold.is_released or address is None:
+        if hold.is_released or not address:
             return
         lease = leases.Lease(
             first=max(hold.first, entry.first),
@@ -291,7 +329,9 @@
     """Stands for nobody who listens."""
 
 
-def _held(entry: ranges.Range, until: float) -> leased.Hold:
+def _held(former: owners.Former, now: float) -> leased.Hold:
+    entry = former.entry
+    until = leased.lease_end(now, former.seconds)
     return leased.Hold(entry.first, entry.last, entry.owner, entry.fence, until)
 
 
--- a/src/bilberryglade/_ownership/owners.py
+++ b/src/bilberryglade/_ownership/owners.py
@@ -1,5 +1,6 @@
 """What an instance knows of the owners of keys, from the coordinator."""
 
+import math
 import typing
 from collections import abc
 
@@ -8,6 +9,11 @@
 from bilberryglade._ownership import ranges
 from bilberryglade_schema import fleet as messages
 
+MILLISECONDS: typing.Final = 1000
+#: Where targets take orders.
+Addresses: typing.TypeAlias = abc.Mapping[ranges.Owner, str]
+NO_ADDRESSES: typing.Final[Addresses] = immutables.Map()
+
 
 class Owned(typing.NamedTuple):
     """A range of keys as routing sees it."""
@@ -17,6 +23,14 @@
     is_moving: bool
 
 
+class Former(typing.NamedTuple):
+    """Keys on which an earlier owner may still hold a lease."""
+
+    entry: ranges.Range
+    #: Longest time that the lease may last.
+    seconds: float
+
+
 class Tables(typing.NamedTuple):
     """The owners of all keys of all services, in one version."""
 
@@ -27,11 +41,15 @@
     services: abc.Mapping[str, tuple[Owned, ...]] = immutables.Map()
 
 
+def is_newer(tables: Tables, other: Tables) -> bool:
+    """Tells whether tables were made later than others."""
+    own = (tables.version, tables.change)
+    return own > (other.version, other.change)
+
+
 def newer(known: Tables, other: Tables) -> Tables:
     """Returns the one of two that was made later."""
-    if (other.version, other.change) > (known.version, known.change):
-        return other
-    return known
+    return other if is_newer(other, known) else known
 
 
 def find(tables: Tables, service: str, key: int) -> Owned | None:
@@ -78,7 +96,11 @@
     return Tables(version, message.get('change', 0), services)
 
 
-def to_message(tables: Tables, sender: str) -> messages.Assignment:
+def to_message(
+    tables: Tables,
+    sender: str,
+    addresses: Addresses = NO_ADDRESSES,
+) -> messages.Assignment:
     """Returns the message for other instances, or the record to append."""
     return {
         'kind': 'assignment',
@@ -86,32 +108,62 @@
         'version': tables.version,
         'change': tables.change,
         'services': {
-            service: to_table(entries)
+            service: to_table(entries, addresses)
             for service, entries in tables.services.items()
         },
     }
 
 
-def to_table(found: abc.Sequence[Owned]) -> messages.OwnedTable:
-    """Returns ranges as they stand in a message; each owner is named once."""
+def to_table(
+    found: abc.Iterable[Owned],
+    addresses: Addresses = NO_ADDRESSES,
+) -> messages.OwnedTable:
+    """Returns ranges as they stand in a message; each owner is named once.
+
+    `addresses` are those of owners that the message is to name with them.
+    """
     places: dict[ranges.Owner, int] = {}
-    rows: list[list[int]] = []
-    for owned in found:
-        entry = owned.entry
-        place = places.setdefault(entry.owner, len(places))
-        moving = int(owned.is_moving)
-        rows.append([entry.first, entry.last, place, entry.fence, moving])
-    return {
-        'owners': [
-            {'target': owner.target, 'born': owner.born} for owner in places
-        ],
-        'rows': rows,
-    }
+    rows = [
+        [*_row(owned.entry, places), int(owned.is_moving)] for owned in found
+    ]
+    return {'owners': _lives(places, addresses), 'rows': rows}
 
 
-def entries_of(table: messages.OwnedTable) -> tuple[ranges.Range, ...]:
-    """Returns the ranges of a message, with their fences as they are."""
-    return tuple(owned.entry for owned in _from_table(table, -1))
+def to_former_table(
+    found: abc.Iterable[Former],
+    addresses: Addresses,
+) -> messages.FormerTable:
+    """Returns earlier owners as they stand in a record."""
+    places: dict[ranges.Owner, int] = {}
+    rows = [
+        [*_row(former.entry, places), math.ceil(former.seconds * MILLISECONDS)]
+        for former in found
+    ]
+    return {'owners': _lives(places, addresses), 'rows': rows}
+
+
+def former_of(table: messages.FormerTable) -> tuple[Former, ...]:
+    """Returns the earlier owners in a record."""
+    lives = [_owner(owner) for owner in table['owners']]
+    return tuple(
+        Former(
+            ranges.Range(first, last, lives[place], fence),
+            left_ms / MILLISECONDS,
+        )
+        for first, last, place, fence, left_ms in table['rows']
+    )
+
+
+def addresses_of(message: messages.Assignment) -> dict[ranges.Owner, str]:
+    """Returns the addresses of all owners, also earlier ones, in a record."""
+    lives = [
+        life
+        for table in message['services'].values()
+        for life in table['owners']
+    ]
+    former = message.get('former', {})
+    lives += [life for table in former.values() for life in table['owners']]
+    return {_owner(life): life.get('address', '') for life in lives}
 
 
 def slots(tables: Tables) -> frozenset[tuple[str, ranges.Range]]:
@@ -123,14 +175,40 @@
     )
 
 
+def _row(
+    entry: ranges.Range,
+    places: dict[ranges.Owner, int],
+) -> tuple[int, int, int, int]:
+    place = places.setdefault(entry.owner, len(places))
+    return (entry.first, entry.last, place, entry.fence)
+
+
+def _lives(
+    owners: abc.Iterable[ranges.Owner],
+    addresses: Addresses,
+) -> list[messages.OwnerLife]:
+    lives: list[messages.OwnerLife] = []
+    for owner in owners:
+        life: messages.OwnerLife = {
+            'target': owner.target,
+            'born': owner.born,
+        }
+        address = addresses.get(owner, '')
+        if address:
+            life['address'] = address
+        lives.append(life)
+    return lives
+
+
+def _owner(life: messages.OwnerLife) -> ranges.Owner:
+    return ranges.Owner(life['target'], life['born'])
+
+
 def _from_table(
     table: messages.OwnedTable,
     version: int,
 ) -> tuple[Owned, ...]:
-    lives = [
-        ranges.Owner(owner['target'], owner['born'])
-        for owner in table['owners']
-    ]
+    lives = [_owner(owner) for owner in table['owners']]
     return tuple(
         Owned(
             ranges.Range(
--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -35,7 +35,7 @@
 #: Seconds between two plans that even out the load.
 BALANCE_SECONDS: typing.Final = 0.8
 #: Seconds after the start of a term before load is evened out.
-SETTLE_SECONDS: typing.Final = 2.0
+SETTLE_SECONDS: typing.Final = 1.0
 
 Wanted: typing.TypeAlias = dict[str, ranges.Table]
 
@@ -66,9 +66,13 @@
         self.planned: dict[str, frozenset[ranges.Owner]] = {}
         self.tables = owners.Tables()
         #: Earlier owners by the record that was read last.
-        self.former: dict[str, messages.OwnedTable] = {}
+        self.former: dict[str, messages.FormerTable] = {}
+        #: Addresses of the owners in that record.
+        self.addresses: owners.Addresses = owners.NO_ADDRESSES
         #: Term of the tables; -1 if they were not taken over in this term.
         self.term = -1
+        #: Epoch under which this process wrote last, and its count of writes.
+        self.epoch = -1
         self.sequence = 0
         self.started_at: float = 0
         self.balanced_at: float = 0
@@ -128,6 +132,7 @@
         read = owners.from_message(decoded.ok_value, offset)
         self.tables = owners.newer(self.tables, read)
         self.former = decoded.ok_value.get('former', {})
+        self.addresses = owners.addresses_of(decoded.ok_value)
 
     async def _wait_for_news(self) -> None:
         """Waits for the next round, which the grant of a range brings on."""
@@ -145,12 +150,23 @@
             self.lessor.stop()
 
     async def _take_over(self) -> None:
-        """Fences off earlier coordinators, then reads what they wrote."""
+        """Fences off earlier writers, then reads what they wrote.
+
+        Each time takes an epoch of its own, also within one term: under an
+        earlier one the store would refuse the numbers that begin anew, or
+        answer them as repeats without storing anything.
+        """
         term = self.lease.term
-        fenced = await self.client.fence(TOPIC, WRITER, term + 1)
+        epoch = self.lease.state.newest + 1
+        if epoch <= self.epoch:
+            # The next renewal of the claim brings a new one.
+            await asyncio.sleep(RETRY_SECONDS)
+            return
+        fenced = await self.client.fence(TOPIC, WRITER, epoch)
         if isinstance(fenced, result.Err):
             await asyncio.sleep(RETRY_SECONDS)
             return
+        self.epoch = epoch
         self.former = {}
         end = await self.read_tables()
         if isinstance(end, result.Err) or end.ok_value < fenced.ok_value:
@@ -158,12 +174,10 @@
             return
         self.lessor.begin(
             {
-                service: (
-                    *(owned.entry for owned in entries),
-                    *self._former(service),
-                )
+                service: (*map(self._owning, entries), *self._former(service))
                 for service, entries in self.tables.services.items()
             },
+            self.addresses,
         )
         self.sequence = 0
         self.planned.clear()
@@ -233,7 +247,7 @@
         payload = codec.encode_packed(message)
         self.sequence += 1
         condition = stored.Condition(
-            writer=WRITER, epoch=self.term + 1, sequence=self.sequence
+            writer=WRITER, epoch=self.epoch, sequence=self.sequence
         )
         while self.lease.holds:
             appended = await self.client.append(TOPIC, KEY, payload, condition)
@@ -262,31 +276,25 @@
             )
             for service, table in wanted.items()
         }
+        addresses = self.lessor.known_addresses()
         message = owners.to_message(
-            owners.Tables(0, 0, services), self.members.own.name
+            owners.Tables(0, 0, services), self.members.own.name, addresses
         )
         message['former'] = {
-            service: owners.to_table(self._blocking(service, table))
+            service: owners.to_former_table(
+                self.lessor.former(service, table), addresses
+            )
             for service, table in wanted.items()
         }
         return message
 
-    def _former(self, service: str) -> tuple[ranges.Range, ...]:
-        table = self.former.get(service)
-        return () if table is None else owners.entries_of(table)
+    def _owning(self, owned: owners.Owned) -> owners.Former:
+        """Returns an owner, whose lease may have been renewed just now."""
+        return owners.Former(owned.entry, self.lessor.longest_lease)
 
-    def _blocking(
-        self,
-        service: str,
-        table: ranges.Table,
-    ) -> list[owners.Owned]:
-        """Returns earlier owners that may still hold keys of a table."""
-        held = {
-            ranges.Range(hold.first, hold.last, hold.owner, hold.fence)
-            for entry in table
-            for hold in self.lessor.blocking(service, entry)
-        }
-        return [owners.Owned(entry, is_moving=False) for entry in sorted(held)]
+    def _former(self, service: str) -> tuple[owners.Former, ...]:
+        table = self.former.get(service)
+        return () if table is None else owners.former_of(table)
 
     def _put_in_force(self, message: messages.Assignment, offset: int) -> None:
         before = owners.slots(self.tables)
--- a/src/bilberryglade/_ownership/tests/test_key_loads.py
+++ b/src/bilberryglade/_ownership/tests/test_key_loads.py
@@ -47,6 +47,12 @@
         told = sum(self.sum.loads('s').values())
         self.assertAlmostEqual(told, 1 / key_loads.REPORT_SECONDS, delta=0.3)
 
+    def test_a_new_coordinator(self) -> None:
+        """Its first seconds show loads in full, not what has added up."""
+        self.report({'7': 8, '9': 2}, 1.2)
+        self.assertAlmostEqual(self.load(7), 20, delta=3)
+        self.assertAlmostEqual(self.load(9), 5, delta=1)
+
     def test_a_hot_key_shows_at_once(self) -> None:
         """Within a second its load is seen nearly whole."""
         self.report({'7': 1}, 10)
--- a/src/bilberryglade/_ownership/tests/test_owners.py
+++ b/src/bilberryglade/_ownership/tests/test_owners.py
@@ -41,6 +41,21 @@
         self.assertEqual(got[2].entry.fence, ranges.fence_at(12))
         self.assertEqual(got[2].entry.owner, FIRST)
 
+    def test_records_name_addresses(self) -> None:
+        """Who reads a record can take keys back from all that it names."""
+        addresses = {FIRST: '10.0.0.1:80', SECOND: '10.0.0.2:80'}
+        record = owners.to_message(self.tables, 'e1', addresses)
+        self.assertEqual(owners.addresses_of(record), addresses)
+
+    def test_former_owners(self) -> None:
+        """What is left of a lease is rounded up, never down."""
+        former = owners.Former(ranges.Range(0, 15, SECOND, 4), 3.0004)
+        table = owners.to_former_table([former], {SECOND: '10.0.0.2:80'})
+        read = owners.former_of(table)
+        self.assertEqual([one.entry for one in read], [former.entry])
+        self.assertGreaterEqual(read[0].seconds, former.seconds)
+        self.assertLess(read[0].seconds, former.seconds + 0.01)
+
     def test_each_owner_is_named_once(self) -> None:
         """Rows are numbers, so that many ranges stay a short message."""
         table = self.told()['services']['s']
--- /dev/null
+++ b/src/bilberryglade/_ownership/tests/test_steward.py
@@ -0,0 +1,159 @@
+"""The coordinator's tables in the store: taken over, written, written again."""
+
+import unittest
+from unittest import mock
+
+from bilberryglade._knowledge import knowledge
+from bilberryglade._membership import fleet, leadership
+from bilberryglade._ownership import (
+    key_loads,
+    lessor,
+    owners,
+    ranges,
+    steward,
+)
+from bilberryglade._routing import catalogue
+from bilberryglade._targets import directory
+from bilberryglade._targets.tests import samples
+from bilberryglade._values import clock
+from bilberryglade.platform.tests import servers
+
+
+class Lease:
+    """A coordinator's lease that a test renews."""
+
+    def __init__(self) -> None:
+        """Was claimed once."""
+        self.holds = True
+        self.term = 4
+        self.state = leadership.State(term=4, newest=4)
+        self.confirmed_at = clock.now()
+
+    def renew(self) -> None:
+        """Claims once more."""
+        self.state = self.state._replace(newest=self.state.newest + 1)
+
+
+class StewardCase(unittest.IsolatedAsyncioTestCase):
+    """One service with keys and two targets, over the store's stand-in."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts the store; nobody owns anything."""
+        self.store = await servers.start_store()
+        self.addAsyncCleanup(self.store.stop)
+        service = catalogue.Service('s', True, 0, 0)
+        configuration = mock.Mock(services={'s': service})
+        self.known = knowledge.Knowledge(catalogue=configuration)
+        for number in (1, 2):
+            self.list_target(number)
+        self.lease = Lease()
+        reader = mock.Mock(known=self.known)
+        leasing = lessor.Lessor(
+            self.lease,  # type: ignore[arg-type]
+            mock.AsyncMock(),
+            reader,
+            10,
+        )
+        leasing.start_orders = mock.Mock()  # type: ignore[method-assign]
+        own = fleet.Member('e1', 'b', '127.0.0.1:1', 'a')
+        self.steward = steward.Steward(
+            fleet.Fleet(own, mock.Mock()),
+            self.lease,  # type: ignore[arg-type]
+            self.store.client,
+            reader,
+            leasing,
+            key_loads.LoadSum(),
+        )
+
+    def list_target(self, number: int) -> None:
+        """Lists a target that shows that it lives."""
+        target = samples.target(
+            name=f't{number}', offset=number, refreshed_at=clock.now()
+        )
+        listed = directory.put(self.known.directory, target)
+        self.known = self.known._replace(directory=listed)
+
+    async def rounds(self, count: int) -> None:
+        """Runs what the coordinator does in turn."""
+        for _ in range(count):
+            if self.steward.term == self.lease.term:
+                await self.steward._round()  # noqa: WPS437
+            else:
+                await self.steward._take_over()  # noqa: WPS437
+
+    async def stored(self) -> owners.Tables:
+        """Returns the tables that stand in the store."""
+        other = mock.Mock()
+        reader = steward.Steward(
+            other, other, self.store.client, other, mock.Mock(), other
+        )
+        await reader.read_tables()
+        return reader.tables
+
+
+class FormerTests(StewardCase):
+    """Leases of earlier owners over several coordinators."""
+
+    async def test_what_is_left_of_a_lease(self) -> None:
+        """A successor waits for that, not for a whole lease anew."""
+        await self.rounds(2)
+        leasing = self.steward.lessor
+        gone = ranges.Owner('gone', 1)
+        entry = ranges.Range(0, 65_535, gone, 1)
+        leasing.begin({'s': [owners.Former(entry, 3.0)]}, {gone: '10.9.9.9:80'})
+        leasing.fenced = {
+            ('s', owned.entry) for owned in self.steward.tables.services['s']
+        }
+        await self.rounds(1)
+        self.lease.renew()
+        self.steward.term = -1
+        await self.rounds(1)
+        left = {hold.owner: hold.until for hold in leasing.holds['s']}
+        self.assertLess(left[gone] - clock.now(), 4)
+        self.assertGreater(left[gone] - clock.now(), 2.5)
+        self.assertEqual(leasing.addresses[gone], '10.9.9.9:80')
+        listed = ranges.Owner('t1', 10)
+        self.assertGreater(left[listed] - clock.now(), 9)
+
+
+class EpochTests(StewardCase):
+    """Writes after a conflict, in the same term."""
+
+    async def test_tables_are_taken_over_twice(self) -> None:
+        """What is written after that stands in the store, with new fences."""
+        await self.rounds(2)
+        before = await self.stored()
+        self.assertTrue(before.services['s'])
+        self.steward.term = -1
+        await self.rounds(1)
+        self.assertEqual(self.steward.term, -1)
+        self.lease.renew()
+        await self.rounds(1)
+        self.steward.lessor.fenced = {
+            ('s', owned.entry) for owned in before.services['s']
+        }
+        await self.rounds(1)
+        after = await self.stored()
+        self.assertGreater(after.version, before.version)
+        fences = [owned.entry.fence for owned in before.services['s']]
+        for owned in after.services['s']:
+            with self.subTest(owned=owned):
+                self.assertGreater(owned.entry.fence, max(fences))
+
+    async def test_a_gap_in_the_numbers(self) -> None:
+        """A write that was given up stops the next one only till a renewal."""
+        await self.rounds(2)
+        self.steward.sequence += 1
+        self.steward.lessor.fenced = {
+            ('s', owned.entry) for owned in self.steward.tables.services['s']
+        }
+        version = self.steward.tables.version
+        await self.rounds(1)
+        self.assertEqual(self.steward.term, -1)
+        self.lease.renew()
+        await self.rounds(1)
+        self.steward.lessor.fenced = {
+            ('s', owned.entry) for owned in self.steward.tables.services['s']
+        }
+        await self.rounds(1)
+        self.assertGreater((await self.stored()).version, version)
--- a/src/bilberryglade/platform/tests/test_entry.py
+++ b/src/bilberryglade/platform/tests/test_entry.py
@@ -84,6 +84,18 @@
         fences = {held.fence for held in before.target.held}
         self.assertGreater(min(held.fence for held in reborn.held), max(fences))
 
+    async def test_an_owner_that_gave_its_keys_back(self) -> None:
+        """Who says that it owns a key no more is not asked again at once."""
+        owners = [self.world.listed[name].target for name in ('l1', 'l2')]
+        for owner in owners:
+            owner.held.clear()
+        answer = await self.world.ask('/look/x', x_shard_key='5')
+        self.assertIn(answer.status, (200, 503))
+        if answer.status == 503:
+            told = headers.find(answer.headers, headers.RETRY_AFTER)
+            self.assertGreater(float(told), 0)
+        self.assertEqual(sum(owner.misdirected for owner in owners), 1)
+
     async def test_leaving_owner(self) -> None:
         """A target that drains gives its keys up; no key has two owners."""
         leaving = self.world.listed['l1']
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -106,6 +106,16 @@
 
     target: str
     born: int
+    address: NotRequired[str]
+
+
+class FormerTable(TypedDict):
+    """
+    Ranges of keys on which earlier owners may still hold a lease.
+    """
+
+    owners: list[OwnerLife]
+    rows: list[list[int]]
 
 
 class OwnedTable(TypedDict):
@@ -127,7 +137,7 @@
     version: int
     change: NotRequired[int]
     services: dict[str, OwnedTable]
-    former: NotRequired[dict[str, OwnedTable]]
+    former: NotRequired[dict[str, FormerTable]]
 
 
 class AssignmentAsk(TypedDict):
@@ -145,6 +155,7 @@
     """
 
     holder: str
+    address: str
     boot: str
     sequence: int
     is_resigned: bool
--- a/src/bilberryglade_stand_ins/owning_target.py
+++ b/src/bilberryglade_stand_ins/owning_target.py
@@ -42,6 +42,8 @@
         #: Highest fence seen by key range, as pairs of range and fence.
         self.fences: list[Held] = []
         self.runs: list[Run] = []
+        #: Requests for another target, or on keys that it does not hold.
+        self.misdirected = 0
         self.work_seconds = 0.01
         #: Status of answers to requests.
         self.status = 200
@@ -88,6 +90,7 @@
         key = int(text) if text else None
         lacks = self.is_partitioned and (key is None or not self.holds(key))
         if named != self.name or lacks:
+            self.misdirected += 1
             return responses.Response(
                 status_code=MISDIRECTED, headers={'x-not-executed': '1'}
             )
