--- a/src/bilberryglade/_membership/leadership.py
+++ b/src/bilberryglade/_membership/leadership.py
@@ -8,10 +8,10 @@
 import enum
 import typing
 
-#: Seconds that a claim holds; ten times the slowest answers of a slow store.
-LEASE_SECONDS: typing.Final = 2.4
-#: Seconds between renewals: three may fail before the lease ends.
-RENEWAL_SECONDS: typing.Final = 0.7
+#: Seconds that a claim holds; eight times the slowest answers of a slow store.
+LEASE_SECONDS: typing.Final = 2.0
+#: Seconds between renewals: two may fail before the lease ends.
+RENEWAL_SECONDS: typing.Final = 0.6
 #: Allowance for clocks that run apart.
 DRIFT_PART: typing.Final = 0.02
 #: Seconds between the end of a holder's work and a successor's claim.
--- a/src/bilberryglade/_ownership/holds.py
+++ b/src/bilberryglade/_ownership/holds.py
@@ -13,7 +13,7 @@
 #: A target's clock that measures a lease may run slow by this part.
 TARGET_DRIFT_PART: typing.Final = 0.02
 #: Seconds added to the end of a lease for work on the way.
-LEASE_MARGIN_SECONDS: typing.Final = 0.3
+LEASE_MARGIN_SECONDS: typing.Final = 0.2
 
 
 class Hold(typing.NamedTuple):
--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -19,13 +19,13 @@
 from bilberryglade._values import clock, leases
 from bilberryglade.platform import orders
 
-#: Seconds of a usual lease: a lost coordinator is replaced, and its leases
-#: are renewed, before they end.
-LEASE_SECONDS: typing.Final = 4.5
-RENEWAL_SECONDS: typing.Final = 1.0
+#: Seconds of a usual lease: a key of a lost owner is to be served again within
+#: 3 s, and a lost coordinator is mostly replaced before leases end.
+LEASE_SECONDS: typing.Final = 2.8
+RENEWAL_SECONDS: typing.Final = 0.6
 #: Seconds without the store's word from which leases are made as long as
 #: targets accept, so that they outlast an outage.
-STORE_SILENCE_SECONDS: typing.Final = 1.2
+STORE_SILENCE_SECONDS: typing.Final = 1.0
 #: Longest wait for the end of the work on released keys.
 RELEASE_SECONDS: typing.Final = 1.5
 RETRY_SECONDS: typing.Final = 0.3
--- a/src/bilberryglade/_peers/network.py
+++ b/src/bilberryglade/_peers/network.py
@@ -16,6 +16,12 @@
 HEARTBEAT_MS: typing.Final = 500
 HEARTBEAT_TIMEOUT_MS: typing.Final = 1500
 LINGER_MS: typing.Final = 0
+#: Longest wait for a connection: the system would ask again only after ever
+#: longer pauses, long after a partition has healed.
+CONNECT_MS: typing.Final = 500
+#: Pause before the next try, at first and at most.
+RECONNECT_MS: typing.Final = 100
+LONGEST_RECONNECT_MS: typing.Final = 400
 
 
 class Received(typing.NamedTuple):
@@ -121,6 +127,9 @@
         sender.curve_serverkey = self._public_key()
         self._secure(sender)
         self._bound(sender)
+        sender.connect_timeout = CONNECT_MS
+        sender.reconnect_ivl = RECONNECT_MS
+        sender.reconnect_ivl_max = LONGEST_RECONNECT_MS
         sender.connect(f'tcp://{address}')
         self.senders[address] = sender
         return sender
--- /dev/null
+++ b/src/bilberryglade/_peers/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the messages between instances."""
--- a/src/bilberryglade/platform/orders.py
+++ b/src/bilberryglade/platform/orders.py
@@ -10,7 +10,7 @@
 from bilberryglade.platform import durations, headers
 
 #: Seconds for the answer to a grant, which targets give at once.
-GRANT_SECONDS: typing.Final = 0.7
+GRANT_SECONDS: typing.Final = 0.5
 OK_STATUS: typing.Final = 200
 CONFLICT_STATUS: typing.Final = 409
 JSON_BODY: typing.Final = {'content-type': 'application/json'}  # noqa: WPS407
