--- a/src/bilberryglade/_delivery/crash_records.py
+++ b/src/bilberryglade/_delivery/crash_records.py
@@ -89,7 +89,7 @@
             'kind': 'crash',
             'sender': self.members.own.name,
             'fingerprint': fingerprint(request),
-            'target': life_of(target),
+            'target': str(directory.life_of(target)),
         }
         self.hear(crash)
         self.members.send_all(crash)
@@ -103,11 +103,6 @@
     return str(digest.hexdigest())
 
 
-def life_of(target: directory.Target) -> str:
-    """Returns the name of one life of a target."""
-    return f'{target.name}/{target.born}'
-
-
 async def refuses(address: str) -> bool:
     """Tells whether nothing listens at an address."""
     host, _, port = address.rpartition(':')
--- a/src/bilberryglade/_delivery/dispatching.py
+++ b/src/bilberryglade/_delivery/dispatching.py
@@ -32,7 +32,7 @@
     """A target that a request may be sent to, and who counts it there."""
 
     #: Name and start of the target.
-    life: permits.Life
+    life: directory.Life
     dispatcher: str
     number: int
 
@@ -83,7 +83,7 @@
         if name == self.members.own.name:
             chosen = self.ledger.grant(request, clock.now())
             if isinstance(chosen, directory.Target):
-                return Permitted(permits.life_of(chosen), name, number)
+                return Permitted(directory.life_of(chosen), name, number)
             return chosen
         answer = await self._ask_peer(name, request)
         if answer is None:
@@ -260,7 +260,7 @@
 
 def _understood(message: messages.PermitAnswer, name: str) -> Answer:
     if 'target' in message and 'born' in message:
-        life = (message['target'], message['born'])
+        life = directory.Life(message['target'], message['born'])
         return Permitted(life, name, message['number'])
     reason = outcomes.Reason.__members__.get(message.get('reason', ''))
     if reason is None:
--- a/src/bilberryglade/_delivery/permits.py
+++ b/src/bilberryglade/_delivery/permits.py
@@ -22,8 +22,6 @@
 #: Seconds by which a permit outlasts the request that it was given for.
 EXPIRY_MARGIN_SECONDS: typing.Final = 0.2
 
-#: Name of a target and the moment of its start.
-Life: typing.TypeAlias = tuple[str, int]
 #: Name of an instance and the number of its ask.
 PermitKey: typing.TypeAlias = tuple[str, int]
 
@@ -64,9 +62,9 @@
         self.find_targets = find_targets
         self.cold_spacing = cold_spacing
         self.permits: dict[PermitKey, Permit] = {}
-        self.standings: dict[Life, standing.Standing] = {}
+        self.standings: dict[directory.Life, standing.Standing] = {}
         #: By life: when each instance lost an exchange with it last.
-        self.losses: dict[Life, dict[str, float]] = {}
+        self.losses: dict[directory.Life, dict[str, float]] = {}
 
     def grant(
         self,
@@ -95,14 +93,14 @@
         permit = self.permits.pop(key, None)
         if permit is None:
             return
-        life = life_of(permit.target)
+        life = directory.life_of(permit.target)
         known = standing.ended(self.standings[life])
         if self._counts(life, key[0], ended.ending, now):
             ended = _as_counted(ended, permit, known.outstanding)
             known = endings.after(known, permit.target, ended, now)
         self.standings[life] = known
 
-    def expire(self, now: float, listed: abc.Container[Life]) -> None:
+    def expire(self, now: float, listed: abc.Container[directory.Life]) -> None:
         """Drops permits whose end was never told, and targets that left."""
         late = [
             key
@@ -111,7 +109,7 @@
         ]
         for key in late:
             permit = self.permits.pop(key)
-            life = life_of(permit.target)
+            life = directory.life_of(permit.target)
             self.standings[life] = standing.ended(self.standings[life])
         gone = [
             life
@@ -125,7 +123,7 @@
     def seconds(self, since: float) -> dict[str, float]:
         """Returns how long work takes at targets that told of it `since`."""
         return {
-            life[0]: round(standing.usual_seconds(known), 4)
+            life.target: round(standing.usual_seconds(known), 4)
             for life, known in self.standings.items()
             if known.answers and known.reported_at >= since
         }
@@ -135,14 +133,16 @@
         target: directory.Target,
         spacing: float,
     ) -> choosing.View:
-        known = self.standings.get(life_of(target)) or standing.Standing()
+        known = (
+            self.standings.get(directory.life_of(target)) or standing.Standing()
+        )
         return choosing.View(target, known, may_warm=True, cold_spacing=spacing)
 
     def _begin(self, ask: Ask, chosen: choosing.View, now: float) -> None:
         known = standing.sent(chosen.standing)
         if choosing.is_cold(chosen, now):
             known = known._replace(cold_sent_at=now)
-        self.standings[life_of(chosen.target)] = known
+        self.standings[directory.life_of(chosen.target)] = known
         expires_at = now + ask.demand.time_left + EXPIRY_MARGIN_SECONDS
         waiting = standing.waiting_rounds(
             chosen.standing, chosen.target.places, now
@@ -151,7 +151,7 @@
 
     def _counts(
         self,
-        life: Life,
+        life: directory.Life,
         asker: str,
         ending: endings.Ending,
         now: float,
@@ -170,11 +170,6 @@
         return len(recent) > 1
 
 
-def life_of(target: directory.Target) -> Life:
-    """Returns the name of a target and the moment of its start."""
-    return (target.name, target.born)
-
-
 def _as_counted(
     ended: endings.Ended,
     permit: Permit,
--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -283,8 +283,7 @@
         if isinstance(answer, choosing.Refusal):
             return answer
         for target in targets:
-            life = (target.name, target.born)
-            if answer is not None and answer.life == life:
+            if answer and answer.life == directory.life_of(target):
                 return self._checked(Chosen(target, answer), demand)
         if answer is not None:
             self._give_back(Chosen(targets[0], answer))
--- a/src/bilberryglade/_delivery/sends.py
+++ b/src/bilberryglade/_delivery/sends.py
@@ -62,7 +62,7 @@
         self.exchange = exchange
         self.cold_room = cold_room
         self.permits = permits
-        self.standings: dict[tuple[str, int], standing.Standing] = {}
+        self.standings: dict[directory.Life, standing.Standing] = {}
         #: Called when the connection of a request broke at a target.
         self.on_loss: abc.Callable[
             [admission.Incoming, directory.Target], None
@@ -76,7 +76,7 @@
 
     def view(self, target: directory.Target) -> choosing.View:
         """Returns a target as this instance sees it."""
-        known = self.standings.get((target.name, target.born))
+        known = self.standings.get(directory.life_of(target))
         return choosing.View(
             target,
             known or standing.Standing(),
@@ -118,9 +118,9 @@
         until = clock.now() + standing.DOUBT_SECONDS
         listed = self.reader.known.directory
         for target in listed.targets.values():
-            if f'{target.name}/{target.born}' == life:
+            if str(directory.life_of(target)) == life:
                 known = self.view(target).standing
-                self.standings[target.name, target.born] = known._replace(
+                self.standings[directory.life_of(target)] = known._replace(
                     doubtful_until=until
                 )
 
@@ -128,7 +128,7 @@
         """Drops the standing of targets that are not listed any more."""
         directory_now = self.reader.known.directory
         listed = {
-            (target.name, target.born)
+            directory.life_of(target)
             for target in directory_now.targets.values()
         }
         for life in list(self.standings):
@@ -140,7 +140,7 @@
         known = standing.sent(view.standing)
         if choosing.is_cold(view, now):
             known = known._replace(cold_sent_at=now)
-        self.standings[(target.name, target.born)] = known
+        self.standings[directory.life_of(target)] = known
 
     def _end(
         self,
@@ -148,7 +148,7 @@
         ended: endings.Ended,
         permitted: dispatching.Permitted | None,
     ) -> None:
-        life = (target.name, target.born)
+        life = directory.life_of(target)
         known = standing.ended(self.standings[life])
         self.standings[life] = endings.after(known, target, ended, clock.now())
         if permitted is not None:
--- a/src/bilberryglade/_delivery/tests/test_permits.py
+++ b/src/bilberryglade/_delivery/tests/test_permits.py
@@ -40,7 +40,7 @@
 
     def known(self) -> standing.Standing:
         """Returns the standing of the target."""
-        return self.ledger.standings[permits.life_of(self.target)]
+        return self.ledger.standings[directory.life_of(self.target)]
 
 
 class CountTests(LedgerCase):
@@ -69,7 +69,7 @@
     def test_lost_ends(self) -> None:
         """The permits of an instance that is gone run out by themselves."""
         self.grants(40)
-        lives = {permits.life_of(self.target)}
+        lives = {directory.life_of(self.target)}
         self.ledger.expire(NOW + 0.9, lives)
         self.assertGreater(self.known().outstanding, 0)
         self.ledger.expire(NOW + 1.3, lives)
--- a/src/bilberryglade/_delivery/tests/test_sends.py
+++ b/src/bilberryglade/_delivery/tests/test_sends.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from bilberryglade._delivery import crash_records, sends
+from bilberryglade._delivery import sends
 from bilberryglade._knowledge import knowledge
 from bilberryglade._membership import fleet
 from bilberryglade._targets import choosing, directory
@@ -37,11 +37,11 @@
     def test_word_of_another_instance(self) -> None:
         """From that word on the target gets a cold one's rate."""
         self.assertFalse(self.is_cold())
-        self.sends.doubt(crash_records.life_of(self.target))
+        self.sends.doubt(str(directory.life_of(self.target)))
         self.assertTrue(self.is_cold())
 
     def test_another_life(self) -> None:
         """The fall of an earlier life says nothing of this one."""
         earlier = self.target._replace(born=self.target.born - 1)
-        self.sends.doubt(crash_records.life_of(earlier))
+        self.sends.doubt(str(directory.life_of(earlier)))
         self.assertFalse(self.is_cold())
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -165,7 +165,7 @@
     def forget_gone(self) -> None:
         """Drops permits that have run out, and targets that have left."""
         listed = self.reader.known.directory
-        lives = {permits.life_of(one) for one in listed.targets.values()}
+        lives = {directory.life_of(one) for one in listed.targets.values()}
         self.ledger.expire(clock.now(), lives)
         self.load_sum.forget_gone(listed.targets)
 
@@ -179,6 +179,7 @@
                 'claim': self.candidacy.state.newest,
                 'tables_version': self.steward.tables.version,
                 'tables_change': self.steward.tables.change,
+                'operator_offset': self.reader.newest_offset(topics.OPERATOR),
             }
             self.fleet.send_all(message)
 
--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -33,6 +33,7 @@
     """Takes in the coordinator's sign of life."""
     parts.candidacy.hear(message)
     parts.steward.hear_lead(message)
+    parts.reader.hear_lead(message)
 
 
 @handlers.handler_for('report', fleet.Report)
@@ -69,6 +70,12 @@
     parts.reader.hear(message)
 
 
+@handlers.handler_for('relay_ask', fleet.RelayAsk)
+def handle_relay_ask(parts: 'entry.Parts', message: fleet.RelayAsk) -> None:
+    """Sends the operators' records to an instance that has missed some."""
+    parts.reader.tell_operator(message['sender'])
+
+
 @handlers.handler_for('assignment', fleet.Assignment)
 def handle_assignment(parts: 'entry.Parts', message: fleet.Assignment) -> None:
     """Takes in the owners of keys."""
--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -135,6 +135,38 @@
         batch = stored.Batch(records, end, relay['is_whole'])
         self._learn(topic, batch, read_at)
 
+    def hear_lead(self, lead: messages.Lead) -> None:
+        """Evens out what the coordinator and this instance know of operators.
+
+        Whose reads of the store are refused or held up hears of a change from
+        those that were answered.
+        """
+        own = self.newest_offset(topics.OPERATOR)
+        if own < lead['operator_offset']:
+            ask: messages.RelayAsk = {
+                'kind': 'relay_ask',
+                'sender': self.members.own.name,
+            }
+            self.members.send(lead['sender'], ask)
+        elif own > lead['operator_offset']:
+            self.tell_operator(lead['sender'])
+
+    def tell_operator(self, name: str) -> None:
+        """Sends all operators' records that are known to an instance."""
+        topic = topics.OPERATOR
+        read_at = self.known.read_at.get(topic)
+        if read_at is None:
+            return
+        records = tuple(self.newest[topic].values())
+        end = self.known.ends.get(topic, 0)
+        batch = stored.Batch(records, end, is_whole=False)
+        self.members.send(name, self._message(topic, batch, read_at))
+
+    def newest_offset(self, topic: str) -> int:
+        """Returns the offset of the newest record known, -1 if none is."""
+        records = self.newest.get(topic, {}).values()
+        return max((record.offset for record in records), default=-1)
+
     def expire(self) -> None:
         """Drops targets whose entries did not come back in time."""
         listed = directories.expire(self.known.directory, clock.now())
--- a/src/bilberryglade/_knowledge/tests/test_reading.py
+++ b/src/bilberryglade/_knowledge/tests/test_reading.py
@@ -136,3 +136,56 @@
             batch = stored.Batch((record,), record.offset + 1, is_whole=False)
             known = knowledge.learn(known, topics.OPERATOR, batch, 10)
             self.assertEqual(known.is_out('a'), is_out)
+
+
+class LeadTests(unittest.TestCase):
+    """Operators' records that one of two instances has missed."""
+
+    def setUp(self) -> None:
+        """This instance knows a configuration; what it sends is kept."""
+        own = fleet.Member('b', 'b1', '127.0.0.1:1', 'x')
+        self.peers = mock.Mock()
+        members = fleet.Fleet(own, self.peers)
+        members.take(fleet.Member('a', 'a1', '127.0.0.1:2', 'x'))
+        client = mock.Mock()
+        self.reader = reading.Reader(
+            members, client, candidacy.Candidacy(members, client)
+        )
+        record: messages.RelayedRecord = {
+            'key': 'config',
+            'offset': 20,
+            'value': samples.configuration(9),
+        }
+        self.reader.hear(relay(topics.OPERATOR, 0, 21, record))
+
+    def sent(self, operator_offset: int) -> list[typing.Any]:
+        """Returns what is sent after a sign of life of the coordinator."""
+        self.reader.hear_lead(
+            {
+                'kind': 'lead',
+                'sender': 'a',
+                'term': 0,
+                'claim': 0,
+                'tables_version': 0,
+                'tables_change': 0,
+                'operator_offset': operator_offset,
+            },
+        )
+        return [call.args[1] for call in self.peers.send.call_args_list]
+
+    def test_one_that_knows_more(self) -> None:
+        """It is asked for what was missed."""
+        kinds = [message['kind'] for message in self.sent(25)]
+        self.assertEqual(kinds, ['relay_ask'])
+
+    def test_one_that_knows_less(self) -> None:
+        """It is told, and puts that in force."""
+        other = reading.Reader(mock.Mock(), mock.Mock(), mock.Mock())
+        for told in self.sent(3):
+            other.hear(told)
+        assert other.known.catalogue is not None
+        self.assertEqual(other.known.catalogue.version, 9)
+
+    def test_both_know_the_same(self) -> None:
+        """Nothing is sent."""
+        self.assertEqual(self.sent(20), [])
--- a/src/bilberryglade/_membership/tests/test_candidacy.py
+++ b/src/bilberryglade/_membership/tests/test_candidacy.py
@@ -31,6 +31,7 @@
         'claim': 0,
         'tables_version': 0,
         'tables_change': 0,
+        'operator_offset': -1,
     }
 
 
--- a/src/bilberryglade/_targets/directory.py
+++ b/src/bilberryglade/_targets/directory.py
@@ -10,6 +10,17 @@
 GAP_SECONDS: typing.Final = 1.6
 
 
+class Life(typing.NamedTuple):
+    """One life of a target: it knows nothing of those before."""
+
+    target: str
+    born: int
+
+    def __str__(self) -> str:
+        """Returns its name in messages."""
+        return f'{self.target}/{self.born}'
+
+
 class Target(typing.NamedTuple):
     """One life of a target."""
 
@@ -34,6 +45,11 @@
     refreshed_at: float = 0
 
 
+def life_of(target: Target) -> Life:
+    """Returns the life that an entry is of."""
+    return Life(target.name, target.born)
+
+
 class Directory(typing.NamedTuple):
     """All listed targets by name."""
 
--- a/src/bilberryglade/platform/front.py
+++ b/src/bilberryglade/platform/front.py
@@ -9,7 +9,7 @@
 
 from bilberryglade._delivery import router
 from bilberryglade._routing import admission, catalogue
-from bilberryglade._values import clock, outcomes
+from bilberryglade._values import clock, leases, outcomes
 from bilberryglade.platform import headers
 
 METHODS: typing.Final = (
@@ -59,7 +59,6 @@
 LOST_STATUS: typing.Final = 502
 LATE_STATUS: typing.Final = 504
 GONE_STATUS: typing.Final = 499
-LAST_KEY: typing.Final = 65_535
 
 Observe: typing.TypeAlias = abc.Callable[
     [admission.Incoming, router.Delivered, int, float],
@@ -235,7 +234,7 @@
     if not text:
         return None
     key = int(text)
-    if not 0 <= key <= LAST_KEY:
+    if not 0 <= key <= leases.LAST_KEY:
         raise ValueError(f'routing key {key}')
     return key
 
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -31,6 +31,7 @@
     claim: int
     tables_version: int
     tables_change: int
+    operator_offset: int
 
 
 class Report(TypedDict):
@@ -99,6 +100,15 @@
     records: list[RelayedRecord]
 
 
+class RelayAsk(TypedDict):
+    """
+    An instance has missed operators' records that another one knows.
+    """
+
+    kind: Literal['relay_ask']
+    sender: str
+
+
 class OwnerLife(TypedDict):
     """
     One life of a target that owns keys.
