--- a/src/bilberryglade/platform/front.py
+++ b/src/bilberryglade/platform/front.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import contextlib
+import traceback
 import typing
 from collections import abc
 
+import loguru
 from starlette import applications, requests, responses, routing
 
 from bilberryglade._delivery import router
@@ -140,7 +142,25 @@
 def application(front: Front) -> applications.Starlette:
     """Returns the HTTP application for callers."""
     route = routing.Route('/{path:path}', front.serve, methods=list(METHODS))
-    return applications.Starlette(routes=[route])
+    return applications.Starlette(
+        routes=[route],
+        exception_handlers={Exception: answer_fault},
+    )
+
+
+async def answer_fault(
+    request: requests.Request,
+    fault: Exception,
+) -> responses.Response:
+    """Answers a request that met a fault of this program.
+
+    Nothing is promised of it: it may have been sent.
+    """
+    request_id = request.headers.get(headers.REQUEST_ID, '')
+    loguru.logger.opt(exception=fault).bind(
+        request=request_id, trace=''.join(traceback.format_exception(fault))
+    ).error('fault while a request was served: {!r}', fault)
+    return responses.Response(status_code=LOST_STATUS)
 
 
 def incoming_of(
--- a/src/bilberryglade/platform/tests/test_entry.py
+++ b/src/bilberryglade/platform/tests/test_entry.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
+
+import loguru
 
 from bilberryglade.platform import headers
 from bilberryglade.platform.tests import deployment, samples
@@ -96,6 +99,21 @@
             self.assertGreater(float(told), 0)
         self.assertEqual(sum(owner.misdirected for owner in owners), 1)
 
+    async def test_fault_of_the_program(self) -> None:
+        """It is told with the request's id, and nothing is promised."""
+        lines: list[str] = []
+        sink = loguru.logger.add(lines.append, format='{message} {extra}')
+        self.addCleanup(loguru.logger.remove, sink)
+        running = self.world.entries[0]
+        with mock.patch.object(
+            running.parts.router, 'serve', side_effect=KeyError('odd')
+        ):
+            answer = await self.world.ask('/claims/1', method='POST')
+        self.assertEqual(answer.status, 502)
+        told = [line for line in lines if line.startswith('fault while')]
+        self.assertEqual(len(told), 1)
+        self.assertIn(f'r-{self.world.requests}', told[0])
+
     async def test_leaving_owner(self) -> None:
         """A target that drains gives its keys up; no key has two owners."""
         leaving = self.world.listed['l1']
