Test runs at the same time have loopback addresses of their own

Cause of 6 failures in each of two whole runs that ran at the same time: their deployments took the same addresses and ports ("Address already in use" at port 7560 of 127.77.x). All 12 are tests of platform/tests/test_entry.py; the other 441 passed in both. Ruled out: the code under test, which was not reached.

--- a/src/bilberryglade/platform/tests/deployment.py
+++ b/src/bilberryglade/platform/tests/deployment.py
@@ -4,6 +4,7 @@
 import copy
 import itertools
 import json
+import os
 import time
 import typing
 
@@ -16,8 +17,10 @@
 from bilberryglade_stand_ins import owning_target
 
 BEAT_SECONDS: typing.Final = 0.3
-#: Each deployment has addresses of its own on loopback.
+#: Each deployment has addresses of its own on loopback, and so has each test
+#: run on a machine: ports are the same on all instances.
 NETWORKS: typing.Final = itertools.count(1)
+RUN: typing.Final = 10 + os.getpid() % 200
 WAIT_SECONDS: typing.Final = 10.0
 CALLERS_PORT: typing.Final = 28_388
 
@@ -98,7 +101,7 @@
 
     def address(self, number: int) -> str:
         """Returns the IP number of an instance."""
-        return f'127.77.{self.network}.{number + 1}'
+        return f'127.{RUN}.{self.network}.{number + 1}'
 
     def runs(self, name: str) -> list[owning_target.Run]:
         """Returns the requests that a target has begun."""
