--- a/src/bilberryglade/_delivery/dispatching.py
+++ b/src/bilberryglade/_delivery/dispatching.py
@@ -6,12 +6,12 @@
 while, and the request is sent on what the instance itself knows.
 """
 
-import asyncio
 import random
 import typing
 
 from bilberryglade._delivery import endings, permits
 from bilberryglade._membership import fleet
+from bilberryglade._peers import asks
 from bilberryglade._targets import choosing, directory, standing
 from bilberryglade._values import clock, outcomes, spreading
 from bilberryglade_schema import fleet as messages
@@ -55,14 +55,12 @@
         self.members = members
         self.ledger = ledger
         self.number = random.randrange(FIRST_NUMBERS)
-        self.waiting: dict[int, asyncio.Future[messages.PermitAnswer]] = {}
+        self.asks: asks.Asks[messages.PermitAnswer] = asks.Asks()
         self.silences: dict[str, Silence] = {}
         #: Members by rank for each pool, and the membership that this holds
         #: for.
         self.rankings: dict[tuple[str, str], tuple[str, ...]] = {}
         self.ranked_version = -1
-        #: Asks that no dispatcher answered.
-        self.unanswered = 0
 
     async def ask(
         self,
@@ -127,9 +125,7 @@
     def hear_answer(self, message: messages.PermitAnswer) -> None:
         """Takes in an answer; a permit that comes too late is given back."""
         self.silences.pop(message['sender'], None)
-        future = self.waiting.get(message['number'])
-        if future is not None and not future.done():
-            future.set_result(message)
+        if self.asks.answer(message['number'], message):
             return
         answer = _understood(message, message['sender'])
         if isinstance(answer, Permitted):
@@ -189,23 +185,11 @@
             message['owner'] = request.owner
         if demand.tried:
             message['excluded'] = sorted(demand.tried)
-        future: asyncio.Future[messages.PermitAnswer] = (
-            asyncio.get_running_loop().create_future()
+        return await self.asks.wait(
+            number, lambda: self.members.send(name, message), ASK_SECONDS
         )
-        if not self.members.send(name, message):
-            return None
-        self.waiting[number] = future
-        try:
-            async with asyncio.timeout(ASK_SECONDS):
-                return await future
-        except TimeoutError:
-            # The caller goes on without a permit.
-            return None
-        finally:
-            self.waiting.pop(number, None)
 
     def _note_silence(self, name: str) -> None:
-        self.unanswered += 1
         known = self.silences.get(name)
         now = clock.now()
         if known is not None and known.until > now:
--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -183,7 +183,7 @@
             if isinstance(chosen, choosing.Refusal):
                 return self._left(job, delivered, chosen)
             if delivered.targets and not self._spend(job.service):
-                self._give_back(chosen)
+                self._give_back(chosen.permitted)
                 return self._with_return(job, delivered)
             asked_on = self.keeper.tables
             outcome = await self.sending.send(
@@ -224,7 +224,7 @@
         left = job.deadline - clock.now()
         route = job.admitted.route
         is_last = len(delivered.targets) + 1 >= route.attempts
-        service = self._service(job.service)
+        service = self.reader.known.service(job.service)
         has_others = service is not None and not service.is_partitioned
         may_repeat = route.repeatable and has_others and not is_last
         if may_repeat and budget.spent(self.budgets[job.service]):
@@ -244,10 +244,11 @@
         delivered: Delivered,
         denied: owners.Tables,
     ) -> Chosen | choosing.Refusal:
-        service = self._service(job.service)
+        service = self.reader.known.service(job.service)
         if service is None or not service.is_partitioned:
+            targets = self.reader.known.in_use(job.service)
             tried = frozenset(delivered.targets)
-            return await self._choose_among(job, tried)
+            return await self._permitted(job, targets, tried, None)
         # The owner of a key is the only one that may be tried again.
         key = job.request.routing_key
         if key is not None and not delivered.targets:
@@ -257,15 +258,6 @@
             return owner
         return await self._permitted(job, [owner], frozenset(), owner)
 
-    async def _choose_among(
-        self,
-        job: Job,
-        tried: frozenset[str],
-    ) -> Chosen | choosing.Refusal:
-        """Chooses one of all targets of a service without keys."""
-        targets = self._targets(job.service)
-        return await self._permitted(job, targets, tried, None)
-
     async def _permitted(
         self,
         job: Job,
@@ -293,8 +285,7 @@
         for target in targets:
             if answer and answer.life == directory.life_of(target):
                 return self._checked(Chosen(target, answer), demand)
-        if answer is not None:
-            self._give_back(Chosen(targets[0], answer))
+        self._give_back(answer)
         alone = self._demand(job, clock.now(), tried)
         views = [self.sending.view(target) for target in targets]
         chosen = choosing.choose(views, alone, clock.now())
@@ -310,7 +301,7 @@
         """Looks again at a target that may have changed during the ask."""
         view = self.sending.view(chosen.target)
         if chosen.target.name in choosing.excluded([view], demand, clock.now()):
-            self._give_back(chosen)
+            self._give_back(chosen.permitted)
             return choosing.refuse([view], clock.now())
         return chosen
 
@@ -327,10 +318,10 @@
             tried=tried,
         )
 
-    def _give_back(self, chosen: Chosen) -> None:
-        if chosen.permitted is not None:
+    def _give_back(self, permitted: dispatching.Permitted | None) -> None:
+        if permitted is not None:
             abandoned = endings.Ended(endings.Ending.abandoned)
-            self.permits.end(chosen.permitted, abandoned)
+            self.permits.end(permitted, abandoned)
 
     async def _owner(
         self,
@@ -368,19 +359,6 @@
             return None
         return target
 
-    def _targets(self, service: str) -> list[directory.Target]:
-        known = self.reader.known
-        return [
-            target
-            for target in known.directory.targets.values()
-            if target.service == service
-            and not known.is_out(target.failure_domain)
-        ]
-
-    def _service(self, name: str) -> catalogue.Service | None:
-        known = self.reader.known.catalogue
-        return None if known is None else known.services.get(name)
-
     def _refused(
         self,
         request: admission.Incoming,
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -125,8 +125,7 @@
 
     def cold_room(self, service: str) -> float:
         """Returns the requests a second that a cold target may get."""
-        known = self.reader.known.catalogue
-        found = None if known is None else known.services.get(service)
+        found = self.reader.known.service(service)
         if found is None or not found.cold_rate:
             return 0
         bounds = self.place.bounds
@@ -134,8 +133,7 @@
 
     def cold_spacing(self, service: str) -> float:
         """Returns the seconds between two requests to a cold target."""
-        known = self.reader.known.catalogue
-        found = None if known is None else known.services.get(service)
+        found = self.reader.known.service(service)
         if found is None or not found.cold_rate:
             return 0
         return 1 / found.cold_rate
@@ -143,15 +141,10 @@
     def targets_of(self, service: str, owner: str) -> list[directory.Target]:
         """Returns the owner named, or all targets of a service in use."""
         known = self.reader.known
-        targets = known.directory.targets
-        if owner:
-            return [targets[owner]] if owner in targets else []
-        return [
-            target
-            for target in targets.values()
-            if target.service == service
-            and not known.is_out(target.failure_domain)
-        ]
+        if not owner:
+            return known.in_use(service)
+        target = known.directory.targets.get(owner)
+        return [] if target is None else [target]
 
     def is_ready(self) -> bool:
         """Tells whether callers may be sent here."""
--- a/src/bilberryglade/_knowledge/knowledge.py
+++ b/src/bilberryglade/_knowledge/knowledge.py
@@ -42,6 +42,21 @@
         domain = self.domains.get(failure_domain)
         return domain is not None and domain.is_out
 
+    def service(self, name: str) -> catalogues.Service | None:
+        """Returns a service of the configuration in force."""
+        if self.catalogue is None:
+            return None
+        return self.catalogue.services.get(name)
+
+    def in_use(self, service: str) -> list[directories.Target]:
+        """Returns a service's targets outside the domains taken out."""
+        return [
+            target
+            for target in self.directory.targets.values()
+            if target.service == service
+            and not self.is_out(target.failure_domain)
+        ]
+
 
 def learn(
     known: Knowledge,
--- a/src/bilberryglade/_limits/desks.py
+++ b/src/bilberryglade/_limits/desks.py
@@ -1,12 +1,12 @@
 """Admission of organisations' requests at one instance."""
 
-import asyncio
 import math
 import typing
 from collections import abc
 
 from bilberryglade._limits import parts
 from bilberryglade._membership import candidacy, fleet
+from bilberryglade._peers import asks
 from bilberryglade._routing import catalogue
 from bilberryglade._values import clock
 from bilberryglade_schema import fleet as messages
@@ -56,7 +56,7 @@
         self.lease = lease
         self.instances = instances
         self.desks: dict[str, Desk] = {}
-        self.waiting: dict[int, asyncio.Future[messages.QuotaGrant]] = {}
+        self.asks: asks.Asks[messages.QuotaGrant] = asks.Asks()
         self.sequence = 0
         self.ask_own = ask_own
 
@@ -97,10 +97,8 @@
 
     def take(self, grant: messages.QuotaGrant) -> None:
         """Takes in an answer of the coordinator."""
-        future = self.waiting.get(grant['sequence'])
-        is_own = grant['boot'] == self.members.own.boot
-        if is_own and future is not None and not future.done():
-            future.set_result(grant)
+        if grant['boot'] == self.members.own.boot:
+            self.asks.answer(grant['sequence'], grant)
 
     async def _admit_from_pool(
         self,
@@ -160,19 +158,10 @@
         }
         if self.lease.holds:
             return self.ask_own(ask)
-        future: asyncio.Future[messages.QuotaGrant] = (
-            asyncio.get_running_loop().create_future()
+        coordinator = self.lease.coordinator
+        return await self.asks.wait(
+            number, lambda: self.members.send(coordinator, ask), WAIT_SECONDS
         )
-        if not self.members.send(self.lease.coordinator, ask):
-            return None
-        self.waiting[number] = future
-        try:
-            async with asyncio.timeout(WAIT_SECONDS):
-                return await future
-        except TimeoutError:
-            return None
-        finally:
-            self.waiting.pop(number, None)
 
     def _desk(self, name: str, flow: parts.Flow, now: float) -> Desk:
         known = self.desks.get(name)
--- a/src/bilberryglade/_ownership/candidates.py
+++ b/src/bilberryglade/_ownership/candidates.py
@@ -51,25 +51,21 @@
         One that owns none is given some only while it shows that it lives: it
         could not confirm them, and they would have no owner till then.
         """
-        known = self.reader.known
         chosen = [
             target
-            for target in known.directory.targets.values()
-            if target.service == service
-            and not target.is_draining
-            and not known.is_out(target.failure_domain)
-            and self._is_sound(target, owning, now)
+            for target in self.reader.known.in_use(service)
+            if not target.is_draining and self._is_sound(target, owning, now)
         ]
         return sorted(chosen, key=_place)
 
     def weigh(
         self,
-        service: str,
         targets: abc.Sequence[directory.Target],
+        loads: ranges.Loads,
         now: float,
     ) -> list[ranges.Candidate]:
         """Returns targets with the load that each should carry."""
-        load = sum(self.load_sum.loads(service).values())
+        load = sum(loads.values())
         capacities = self._capacities(targets, now)
         weights = shares.divide(capacities, max(load, len(targets)))
         return [
--- a/src/bilberryglade/_ownership/planning.py
+++ b/src/bilberryglade/_ownership/planning.py
@@ -275,10 +275,8 @@
     """Returns the places of an owner's ranges that have arrived."""
     return [
         place
-        for place, entry in enumerate(table)
-        if entry.owner == owner
-        and entry not in moving
-        and not ranges.is_new(entry)
+        for place in _places(table, owner)
+        if table[place] not in moving and not ranges.is_new(table[place])
     ]
 
 
--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -78,8 +78,6 @@
         self.balanced_at: float = 0
         self.looked_at: float = 0
         self.is_told = True
-        #: Ranges that changed hands since the start.
-        self.moves = 0
 
     async def keep(self) -> None:
         """Runs until it is cancelled."""
@@ -111,8 +109,8 @@
 
     def hear_lead(self, lead: messages.Lead) -> None:
         """Asks for the tables if some were missed."""
-        told = (lead['tables_version'], lead['tables_change'])
-        if told <= (self.tables.version, self.tables.change):
+        told = owners.Tables(lead['tables_version'], lead['tables_change'])
+        if not owners.is_newer(told, self.tables):
             return
         ask: messages.AssignmentAsk = {
             'kind': 'assignment_ask',
@@ -221,10 +219,11 @@
                 wanted[service] = self._refenced(service)
                 continue
             self.planned[service] = lives
+            loads = self.load_sum.loads(service)
             planned = planning.plan(
                 self._refenced(service),
-                self.candidates.weigh(service, targets, now),
-                self.load_sum.loads(service),
+                self.candidates.weigh(targets, loads, now),
+                loads,
                 may_balance=balances,
                 moving=owners.moving(self.tables, service),
             )
@@ -302,7 +301,6 @@
         after = owners.slots(self.tables)
         self.lessor.keep_only(after)
         for service, entry in sorted(after - before):
-            self.moves += 1
             loguru.logger.info(
                 'keys {}-{} of {} to {} fence {}',
                 entry.first,
--- a/src/bilberryglade/platform/headers.py
+++ b/src/bilberryglade/platform/headers.py
@@ -25,7 +25,6 @@
 LOAD: typing.Final = 'x-server-load'
 HANDOVER: typing.Final = 'x-handover'
 RETRY_AFTER: typing.Final = 'retry-after'
-KEEP_ALIVE: typing.Final = 'keep-alive'
 CONTENT_ENCODING: typing.Final = 'content-encoding'
 
 
