Lines for targets that come and go, for plans of keys, and the owner that refused

Lines could not tell which targets may own keys, why a plan moved them, or which owner a refused request had met. Each instance now writes a line when a target is listed, leaves, lapses or is gone; the coordinator writes one for each plan that changes a table, with the keys that change hands and the load and speeds behind it; a request's line names the owner that could not take it.

--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -49,6 +49,8 @@
     organisation: str = ''
     #: Targets to which it was sent, in order.
     targets: tuple[str, ...] = ()
+    #: The owner that could not take it; empty without keys.
+    owner: str = ''
     #: Milliseconds after which the caller may come back; 0 if unknown.
     retry_after_ms: int = 0
     #: Seconds that the caller had waited before, as an earlier request.
@@ -209,6 +211,7 @@
         refusal: choosing.Refusal,
     ) -> Delivered:
         """Returns what became of a request that no target can have now."""
+        delivered = delivered._replace(owner=refusal.owner)
         if not delivered.targets:
             refused = outcomes.NotRun(refusal.reason)
             delivered = delivered._replace(outcome=refused)
@@ -256,7 +259,10 @@
         owner = await self._owner(job, denied)
         if isinstance(owner, choosing.Refusal):
             return owner
-        return await self._permitted(job, [owner], frozenset(), owner)
+        chosen = await self._permitted(job, [owner], frozenset(), owner)
+        if isinstance(chosen, choosing.Refusal):
+            return chosen._replace(owner=owner.name)
+        return chosen
 
     async def _permitted(
         self,
--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -173,6 +173,7 @@
         """Drops targets whose entries did not come back in time."""
         listed = directories.expire(self.known.directory, clock.now())
         if listed is not self.known.directory:
+            _note_targets(self.known.directory, listed)
             self.known = self.known._replace(directory=listed)
             self._tell()
 
@@ -199,7 +200,7 @@
         return tuple(
             record
             for record in news.records
-            if _is_change(
+            if directories.is_change(
                 before.targets.get(record.key), after.targets.get(record.key)
             )
             or record.payload is None
@@ -256,7 +257,9 @@
         }
 
     def _learn(self, topic: str, batch: stored.Batch, read_at: float) -> None:
+        before = self.known.directory
         self.known = knowledge.learn(self.known, topic, batch, read_at)
+        _note_targets(before, self.known.directory)
         kept = self.newest.setdefault(topic, {})
         for record in batch.records:
             known = kept.get(record.key)
@@ -287,21 +290,20 @@
         )
 
 
-def _is_change(
-    before: directories.Target | None,
-    after: directories.Target | None,
-) -> bool:
-    """Tells whether an entry matters beyond being a sign of life."""
-    if before is None or after is None:
-        return before is not after
-    return _facts(before) != _facts(after)
-
-
-def _facts(target: directories.Target) -> tuple[object, ...]:
-    return (
-        target.born,
-        target.is_draining,
-        target.address,
-        target.places,
-        bool(target.cold_until),
-    )
+def _note_targets(
+    before: directories.Directory,
+    after: directories.Directory,
+) -> None:
+    """Writes a line for each target that came, went or changed."""
+    if before is after:
+        return
+    for change in directories.changes(before, after):
+        target = change.target
+        loguru.logger.info(
+            'target {} of {} in {} {}: offset {}',
+            target.name,
+            target.service,
+            target.failure_domain,
+            change.what,
+            target.offset,
+        )
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -79,6 +79,7 @@
             service=delivered.service,
             key=request.routing_key,
             targets=delivered.targets,
+            owner=delivered.owner,
             outcome=kind,
             reason=reason,
             status=status,
--- a/src/bilberryglade/_ownership/owners.py
+++ b/src/bilberryglade/_ownership/owners.py
@@ -142,8 +142,10 @@
     return {'owners': _lives(places, addresses), 'rows': rows}
 
 
-def former_of(table: messages.FormerTable) -> tuple[Former, ...]:
-    """Returns the earlier owners in a record."""
+def former_of(table: messages.FormerTable | None) -> tuple[Former, ...]:
+    """Returns the earlier owners in a record; none if there is none."""
+    if table is None:
+        return ()
     lives = [_owner(owner) for owner in table['owners']]
     return tuple(
         Former(
--- a/src/bilberryglade/_ownership/ranges.py
+++ b/src/bilberryglade/_ownership/ranges.py
@@ -150,6 +150,28 @@
     return tuple(joined)
 
 
+def owners_in(table: Table) -> frozenset[Owner]:
+    """Returns who owns keys by a table."""
+    return frozenset(entry.owner for entry in table)
+
+
+def keys_moved(before: Table, after: Table) -> int:
+    """Returns how many keys of one whole table change hands by another."""
+    moved = 0
+    place = 0
+    for entry in after:
+        first = entry.first
+        while place < len(before) and first <= entry.last:
+            known = before[place]
+            last = min(known.last, entry.last)
+            if known.owner != entry.owner:
+                moved += last - first + 1
+            first = last + 1
+            if known.last == last:
+                place += 1
+    return moved
+
+
 def is_whole(table: Table) -> bool:
     """Tells whether a table covers every key once."""
     due = 0
--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import typing
+from collections import abc
 
 import loguru
 import result
@@ -21,6 +22,7 @@
     planning,
     ranges,
 )
+from bilberryglade._targets import directory
 from bilberryglade._values import clock, stored
 from bilberryglade.platform import store
 from bilberryglade_schema import fleet as messages
@@ -172,7 +174,10 @@
             return
         self.lessor.begin(
             {
-                service: (*map(self._owning, entries), *self._former(service))
+                service: (
+                    *map(self._owning, entries),
+                    *owners.former_of(self.former.get(service)),
+                )
                 for service, entries in self.tables.services.items()
             },
             self.addresses,
@@ -219,18 +224,32 @@
                 wanted[service] = self._refenced(service)
                 continue
             self.planned[service] = lives
-            loads = self.load_sum.loads(service)
-            planned = planning.plan(
-                self._refenced(service),
-                self.candidates.weigh(targets, loads, now),
-                loads,
-                may_balance=balances,
-                moving=owners.moving(self.tables, service),
-            )
+            planned = self._plan(service, targets, may_balance=balances)
             wanted[service] = planned.table
             is_changed = is_changed or planned.is_changed
         return wanted if is_changed else None
 
+    def _plan(
+        self,
+        service: str,
+        targets: abc.Sequence[directory.Target],
+        *,
+        may_balance: bool,
+    ) -> planning.Plan:
+        loads = self.load_sum.loads(service)
+        weighed = self.candidates.weigh(targets, loads, clock.now())
+        before = self._refenced(service)
+        planned = planning.plan(
+            before,
+            weighed,
+            loads,
+            may_balance=may_balance,
+            moving=owners.moving(self.tables, service),
+        )
+        if planned.is_changed:
+            _note_plan(service, before, planned.table, weighed, loads)
+        return planned
+
     def _refenced(self, service: str) -> ranges.Table:
         owned = self.tables.services.get(service, ())
         return tuple(
@@ -291,10 +310,6 @@
         """Returns an owner, whose lease may have been renewed just now."""
         return owners.Former(owned.entry, self.lessor.longest_lease)
 
-    def _former(self, service: str) -> tuple[owners.Former, ...]:
-        table = self.former.get(service)
-        return () if table is None else owners.former_of(table)
-
     def _put_in_force(self, message: messages.Assignment, offset: int) -> None:
         before = owners.slots(self.tables)
         self.tables = owners.from_message(message, offset)
@@ -330,3 +345,24 @@
     def _change_told(self) -> None:
         self.tables = self.tables._replace(change=self.tables.change + 1)
         self.is_told = False
+
+
+def _note_plan(
+    service: str,
+    before: ranges.Table,
+    after: ranges.Table,
+    weighed: abc.Sequence[ranges.Candidate],
+    loads: ranges.Loads,
+) -> None:
+    """Writes what a plan changes, and the load and speeds behind it."""
+    loguru.logger.info(
+        'plan of {}: {} keys change hands, {} of {} owners stay, '
+        '{} may own, {:.0f} requests/s of {:.0f}',
+        service,
+        ranges.keys_moved(before, after),
+        len(ranges.owners_in(before) & ranges.owners_in(after)),
+        len(ranges.owners_in(before)),
+        len(weighed),
+        sum(loads.values()),
+        sum(candidate.rate for candidate in weighed),
+    )
--- a/src/bilberryglade/_ownership/tests/test_ranges.py
+++ b/src/bilberryglade/_ownership/tests/test_ranges.py
@@ -171,6 +171,32 @@
         self.assertLessEqual(others[-1], most)
 
 
+class MovedTests(unittest.TestCase):
+    """How many keys change hands between two tables."""
+
+    def test_count(self) -> None:
+        """Only other owners count, whatever the borders are."""
+        one, two = (ranges.Owner(name, 1) for name in 'ab')
+        last = leases.LAST_KEY
+        before = (ranges.Range(0, 99, one, 2), ranges.Range(100, last, two, 2))
+        cases = (
+            ('same', before, 0),
+            ('cut', (ranges.Range(0, 49, one, 2), *_rest(one, two)), 0),
+            ('given', (ranges.Range(0, 49, two, 4), *_rest(one, two)), 50),
+            ('all', (ranges.Range(0, last, one, 4),), last - 99),
+        )
+        for name, after, moved in cases:
+            with self.subTest(name=name):
+                self.assertEqual(ranges.keys_moved(before, after), moved)
+
+
+def _rest(one: ranges.Owner, two: ranges.Owner) -> ranges.Table:
+    return (
+        ranges.Range(50, 99, one, 2),
+        ranges.Range(100, leases.LAST_KEY, two, 2),
+    )
+
+
 class SpeedTests(unittest.TestCase):
     """Targets of unequal speed."""
 
--- a/src/bilberryglade/_targets/choosing.py
+++ b/src/bilberryglade/_targets/choosing.py
@@ -58,6 +58,8 @@
     reason: outcomes.Reason
     #: Seconds after which a target is expected to have room.
     retry_seconds: float
+    #: The owner of the request's key; empty if any target would have done.
+    owner: str = ''
 
 
 def choose(
--- a/src/bilberryglade/_targets/directory.py
+++ b/src/bilberryglade/_targets/directory.py
@@ -113,6 +113,60 @@
     return known
 
 
+class Change(typing.NamedTuple):
+    """What happened to a target, for logs."""
+
+    target: Target
+    what: str
+
+
+def changes(before: Directory, after: Directory) -> list[Change]:
+    """Returns what differs beyond signs of life."""
+    found = [
+        Change(target, _what_changed(before.targets.get(name), target))
+        for name, target in after.targets.items()
+        if is_change(before.targets.get(name), target)
+    ]
+    found.extend(
+        Change(target, 'gone')
+        for name, target in before.targets.items()
+        if name not in after.targets
+    )
+    found.extend(
+        Change(after.targets[name], 'lapsed')
+        for name in after.lapsed
+        if name not in before.lapsed
+    )
+    return found
+
+
+def is_change(before: Target | None, after: Target | None) -> bool:
+    """Tells whether an entry matters beyond being a sign of life."""
+    if before is None or after is None:
+        return before is not after
+    return _facts(before) != _facts(after)
+
+
+def _facts(target: Target) -> tuple[object, ...]:
+    return (
+        target.born,
+        target.is_draining,
+        target.address,
+        target.places,
+        bool(target.cold_until),
+    )
+
+
+def _what_changed(before: Target | None, after: Target) -> str:
+    if before is None:
+        return 'listed'
+    if before.born != after.born:
+        return 'started again'
+    if after.is_draining and not before.is_draining:
+        return 'leaving'
+    return 'changed'
+
+
 def _is_stale(before: Target, target: Target) -> bool:
     if target.born != before.born:
         return target.born < before.born
--- a/src/bilberryglade/_targets/tests/test_directory.py
+++ b/src/bilberryglade/_targets/tests/test_directory.py
@@ -1,10 +1,14 @@
 """Targets' entries: older ones, drops, lapses around an outage."""
 
+import typing
 import unittest
 
 from bilberryglade._targets import directory
 from bilberryglade._targets.tests import samples
 
+#: Its name, changed fields of the entry, and the words that it is told by.
+ChangeCase: typing.TypeAlias = tuple[str, dict[str, typing.Any], list[str]]
+
 
 class PutTests(unittest.TestCase):
     """What replaces what."""
@@ -65,3 +69,37 @@
         self.assertNotIn('t', after.targets)
         early = directory.retain(self.known, frozenset(), 100)
         self.assertIn('t', early.targets)
+
+
+class ChangeTests(unittest.TestCase):
+    """What is told of two states of the directory."""
+
+    def test_kinds(self) -> None:
+        """Each change has a word; a sign of life has none."""
+        cases: list[ChangeCase] = [
+            ('sign of life', {'offset': 101, 'sequence': 6}, []),
+            ('new life', {'offset': 101, 'born': 11}, ['started again']),
+            (
+                'notice',
+                {'offset': 101, 'sequence': 6, 'is_draining': True},
+                ['leaving'],
+            ),
+            ('another', {'name': 'u'}, ['listed']),
+            ('more places', {'offset': 101, 'places': 3}, ['changed']),
+        ]
+        before = directory.put(directory.Directory(), samples.target())
+        for name, changes, words in cases:
+            with self.subTest(name=name):
+                after = directory.put(before, samples.target(**changes))
+                found = directory.changes(before, after)
+                self.assertEqual([change.what for change in found], words)
+
+    def test_drops(self) -> None:
+        """An entry that lapsed is told apart from one that is gone."""
+        before = directory.put(directory.Directory(), samples.target())
+        cases = (('gone', 0), ('lapsed', 9))
+        for word, keep_until in cases:
+            with self.subTest(word=word):
+                after = directory.drop(before, 't', 101, keep_until)
+                found = directory.changes(before, after)
+                self.assertEqual([change.what for change in found], [word])
