A listed target may own keys again after a cut, an evacuation or a lost order

Cause: two decisions took the age of a target's entry for a sign of life. The store rewrites no entry of a target that lives unchanged (33 targets, offset 38 after 14 s). So a target without keys was a candidate for 2 s after its entry had changed and never again, and one whose order failed once got no further order. A target that refused a fence was treated in the same way.

Now the store's list alone says who lives. The coordinator looks whether a target out of reach answers, each 0.3 to 1 s, and gives it keys under new fences then, since it may be a new life.

--- a/src/bilberryglade/_ownership/candidates.py
+++ b/src/bilberryglade/_ownership/candidates.py
@@ -10,9 +10,6 @@
 
 #: How much longer than usual work at a cold target is counted.
 COLD_SLOWNESS: typing.Final = 2.5
-#: Age of an entry up to which its target is taken to be alive: one sign of
-#: life of it may be missing.
-FRESH_SECONDS: typing.Final = 2.0
 
 
 class Candidates:
@@ -40,6 +37,11 @@
             if service.is_partitioned
         ]
 
+    def health_path(self, service: str) -> str:
+        """Returns where targets of a service tell that they are there."""
+        known = self.reader.known.service(service)
+        return '/' if known is None else known.health_path
+
     def targets(
         self,
         service: str,
@@ -48,8 +50,8 @@
     ) -> list[directory.Target]:
         """Returns the targets that may own keys, neighbours side by side.
 
-        One that owns none is given some only while it shows that it lives: it
-        could not confirm them, and they would have no owner till then.
+        The store drops the entry of a target that falls silent, and rewrites
+        none that lives unchanged, so an entry's age says nothing.
         """
         chosen = [
             target
@@ -81,10 +83,13 @@
         owning: abc.Set[ranges.Owner],
         now: float,
     ) -> bool:
-        if self.lessor.passes_over(target, now):
+        owner = lessor.owner_of(target)
+        if self.lessor.reach.is_out(owner, now):
             return False
-        is_fresh = now - target.refreshed_at < FRESH_SECONDS
-        return is_fresh or lessor.owner_of(target) in owning
+        if owner in owning:
+            return True
+        # One that may be gone could not confirm keys given to it anew.
+        return target.name not in self.reader.known.directory.lapsed
 
     def _capacities(
         self,
--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -14,7 +14,12 @@
 
 from bilberryglade._knowledge import reading
 from bilberryglade._membership import candidacy
-from bilberryglade._ownership import holds as leased, owners, ranges
+from bilberryglade._ownership import (
+    holds as leased,
+    owners,
+    ranges,
+    reachability,
+)
 from bilberryglade._targets import directory
 from bilberryglade._values import clock, leases
 from bilberryglade.platform import orders
@@ -29,10 +34,6 @@
 #: Longest wait for the end of the work on released keys.
 RELEASE_SECONDS: typing.Final = 1.5
 RETRY_SECONDS: typing.Final = 0.3
-#: Seconds without any confirmed order after which a target is passed over.
-UNREACHABLE_SECONDS: typing.Final = 1.5
-#: Seconds after which such a target is tried again.
-PASSED_OVER_SECONDS: typing.Final = 6.0
 
 Slot: typing.TypeAlias = tuple[str, ranges.Range]
 
@@ -68,11 +69,7 @@
         self.fenced: set[Slot] = set()
         #: Where each life of a target was reached last.
         self.addresses: dict[ranges.Owner, str] = {}
-        #: Offset of the entry of each life whose last order failed: it may
-        #: have started again until a later entry says that it has not.
-        self.doubted: dict[ranges.Owner, int] = {}
-        #: Seconds from which no order to a life of a target was confirmed.
-        self.failing_since: dict[ranges.Owner, float] = {}
+        self.reach = reachability.Reachability(target_orders, self._refence)
         #: Called when a range was granted to its owner for the first time.
         self.on_first_grant: abc.Callable[[], None] = _nothing
 
@@ -90,13 +87,14 @@
         }
         self.grants.clear()
         self.fenced.clear()
-        self.failing_since.clear()
+        self.reach.forget()
 
     def stop(self) -> None:
         """Ends all orders on their way."""
         for task in self.busy.values():
             task.cancel()
         self.busy.clear()
+        self.reach.forget()
         self.grants.clear()
 
     def lives(self) -> dict[str, int]:
@@ -104,16 +102,13 @@
         targets = self.reader.known.directory.targets
         return {target.name: target.born for target in targets.values()}
 
-    def passes_over(self, target: directory.Target, now: float) -> bool:
-        """Tells whether a target confirms no orders, for a limited time."""
-        owner = owner_of(target)
-        since = self.failing_since.get(owner)
-        if since is None or now - since <= UNREACHABLE_SECONDS:
-            return False
-        if now - since > PASSED_OVER_SECONDS:
-            self.failing_since.pop(owner)
-            return False
-        return True
+    def target_of(self, owner: ranges.Owner) -> directory.Target | None:
+        """Returns the listed target of a life; None if there is none."""
+        listed = self.reader.known.directory
+        target = listed.targets.get(owner.target)
+        if target is None or target.born != owner.born:
+            return None
+        return target
 
     def forget_ended(self) -> None:
         """Drops leases that no target can hold any more."""
@@ -199,6 +194,12 @@
         if not task.cancelled():
             task.result()
 
+    def _refence(self, owner: ranges.Owner) -> None:
+        """Asks for new fences: an owner that is back may be a new life."""
+        self.fenced.update(
+            slot for slot in self.grants if slot[1].owner == owner
+        )
+
     async def _serve(self, service: str, entry: ranges.Range) -> None:
         """Clears a range of other holders, then grants or renews it."""
         slot = (service, entry)
@@ -211,10 +212,10 @@
                 for hold in self.blocking(service, entry)
             )
         )
-        target = self._target_of(entry.owner)
+        target = self.target_of(entry.owner)
         if target is None or not self.lease.holds:
             return
-        if self.doubted.get(entry.owner, -1) >= target.offset:
+        if self.reach.is_failing(entry.owner):
             return
         if not self.blocking(service, entry):
             await self._grant(service, entry, target)
@@ -225,7 +226,7 @@
         hold: leased.Hold,
         entry: ranges.Range,
     ) -> None:
-        target = self._target_of(hold.owner)
+        target = self.target_of(hold.owner)
         address = self.addresses.get(hold.owner)
         if target is not None:
             address = target.address
@@ -274,14 +275,11 @@
             leases.Holder(target.name, target.address), lease
         )
         if isinstance(answer, result.Err):
-            self.doubted[entry.owner] = target.offset
             self._take_failure((service, entry), before, answer.err_value)
             return
-        self.doubted.pop(entry.owner, None)
         self.holds[service] = leased.confirmed(
             self.holds[service], entry, leased.doubt(before, entry)
         )
-        self.failing_since.pop(entry.owner, None)
         is_first = not self.grants.get((service, entry), Grant()).until
         self.grants[service, entry] = Grant(
             sent_at + seconds, sent_at + RENEWAL_SECONDS
@@ -296,13 +294,14 @@
         failure: leases.Failure,
     ) -> None:
         service, entry = slot
-        self.failing_since.setdefault(entry.owner, clock.now())
+        if failure is leases.Failure.fenced:
+            self.fenced.add(slot)
+        else:
+            self.reach.note_failure(entry.owner)
         if failure is leases.Failure.unreachable:
             self.holds[service] = leased.withdrawn(
                 self.holds[service], before, entry
             )
-        if failure is leases.Failure.fenced:
-            self.fenced.add(slot)
         _note('grant', entry, entry.owner, failure)
 
     def _lease_seconds(self) -> float:
@@ -312,13 +311,6 @@
             return self.longest_lease
         return LEASE_SECONDS
 
-    def _target_of(self, owner: ranges.Owner) -> directory.Target | None:
-        listed = self.reader.known.directory
-        target = listed.targets.get(owner.target)
-        if target is None or target.born != owner.born:
-            return None
-        return target
-
 
 def owner_of(target: directory.Target) -> ranges.Owner:
     """Returns the life of a target that may own keys."""
--- /dev/null
+++ b/src/bilberryglade/_ownership/reachability.py
@@ -0,0 +1,122 @@
+"""Which owners of keys take orders, and whether those that did not are back.
+
+Nothing else tells of that: the store keeps the entry of a target that lives, and
+rewrites none, also while the coordinator's path to it is cut.
+"""
+
+import asyncio
+import typing
+from collections import abc
+
+import loguru
+
+from bilberryglade._ownership import ranges
+from bilberryglade._targets import directory
+from bilberryglade._values import clock, leases
+from bilberryglade.platform import orders
+
+#: Seconds without any confirmed order after which a target is passed over.
+UNREACHABLE_SECONDS: typing.Final = 1.5
+#: Seconds between two looks whether such a target is back, at first and at
+#: most; in between they grow with the time for which it has been out of reach.
+LEAST_PROBE_SECONDS: typing.Final = 0.3
+MOST_PROBE_SECONDS: typing.Final = 1.0
+PROBE_PART: typing.Final = 0.25
+
+
+class Failing(typing.NamedTuple):
+    """A target that confirmed none of its last orders."""
+
+    #: Seconds of the first of them.
+    since: float
+    #: Seconds at which the next look at it is due.
+    due: float
+
+
+class Reachability:
+    """The owners whose last order failed, and the looks at them."""
+
+    def __init__(
+        self,
+        target_orders: orders.Orders,
+        on_back: abc.Callable[[ranges.Owner], None],
+    ) -> None:
+        """`on_back` is called when a target answers again."""
+        self.orders = target_orders
+        self.on_back = on_back
+        self.failing: dict[ranges.Owner, Failing] = {}
+        self.probes: dict[ranges.Owner, asyncio.Task[None]] = {}
+
+    def forget(self) -> None:
+        """Takes all targets for reachable, and ends all looks."""
+        for task in self.probes.values():
+            task.cancel()
+        self.probes.clear()
+        self.failing.clear()
+
+    def note_failure(self, owner: ranges.Owner) -> None:
+        """Takes in that an order was not confirmed."""
+        now = clock.now()
+        self.failing.setdefault(owner, Failing(now, now + LEAST_PROBE_SECONDS))
+
+    def is_failing(self, owner: ranges.Owner) -> bool:
+        """Tells whether the last order failed: the target may be a new life."""
+        return owner in self.failing
+
+    def is_out(self, owner: ranges.Owner, now: float) -> bool:
+        """Tells whether a target has been out of reach for long."""
+        failing = self.failing.get(owner)
+        return failing is not None and now - failing.since > UNREACHABLE_SECONDS
+
+    def look(
+        self,
+        find: abc.Callable[[ranges.Owner], directory.Target | None],
+        health_path: abc.Callable[[str], str],
+    ) -> None:
+        """Starts the looks that are due.
+
+        `find` returns the listed target of a life; `health_path` returns where
+        the targets of a service tell that they are there.
+        """
+        now = clock.now()
+        for owner, failing in list(self.failing.items()):
+            target = find(owner)
+            if target is None:
+                self.failing.pop(owner)
+            elif failing.due <= now and owner not in self.probes:
+                self.failing[owner] = failing._replace(due=_next(failing, now))
+                self._start(owner, target, health_path(target.service))
+
+    def _start(
+        self,
+        owner: ranges.Owner,
+        target: directory.Target,
+        path: str,
+    ) -> None:
+        task = asyncio.create_task(self._probe(owner, target, path))
+        self.probes[owner] = task
+        task.add_done_callback(lambda _: self._end(owner, task))
+
+    def _end(self, owner: ranges.Owner, task: asyncio.Task[None]) -> None:
+        if self.probes.get(owner) is task:
+            self.probes.pop(owner)
+        if not task.cancelled():
+            task.result()
+
+    async def _probe(
+        self,
+        owner: ranges.Owner,
+        target: directory.Target,
+        path: str,
+    ) -> None:
+        holder = leases.Holder(target.name, target.address)
+        if not await self.orders.reach(holder, path):
+            return
+        if self.failing.pop(owner, None) is not None:
+            loguru.logger.info('target {} answers again', target.name)
+            self.on_back(owner)
+
+
+def _next(failing: Failing, now: float) -> float:
+    pause = max((now - failing.since) * PROBE_PART, LEAST_PROBE_SECONDS)
+    return now + min(pause, MOST_PROBE_SECONDS)
--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -197,6 +197,9 @@
         if wanted is not None and not await self._publish(wanted):
             return
         self.lessor.start_orders(self.tables)
+        self.lessor.reach.look(
+            self.lessor.target_of, self.candidates.health_path
+        )
         self._mark_granted(clock.now())
         if not self.is_told:
             self.is_told = True
--- a/src/bilberryglade/_ownership/tests/test_steward.py
+++ b/src/bilberryglade/_ownership/tests/test_steward.py
@@ -67,9 +67,7 @@
 
     def list_target(self, number: int) -> None:
         """Lists a target that shows that it lives."""
-        target = samples.target(
-            name=f't{number}', offset=number, refreshed_at=clock.now()
-        )
+        target = samples.target(name=f't{number}', offset=number)
         listed = directory.put(self.known.directory, target)
         self.known = self.known._replace(directory=listed)
 
--- a/src/bilberryglade/_routing/catalogue.py
+++ b/src/bilberryglade/_routing/catalogue.py
@@ -42,6 +42,8 @@
     cold_rate: float
     #: Seconds for which a target is cold after its start.
     warmup: float
+    #: Where a target tells that it is there.
+    health_path: str = '/'
 
 
 class Organisation(typing.NamedTuple):
--- a/src/bilberryglade/_targets/directory.py
+++ b/src/bilberryglade/_targets/directory.py
@@ -41,8 +41,6 @@
     sequence: int
     #: Place of its entry in the store.
     offset: int
-    #: Monotonic seconds at which its entry was read last.
-    refreshed_at: float = 0
 
 
 def life_of(target: Target) -> Life:
--- a/src/bilberryglade/platform/catalogues.py
+++ b/src/bilberryglade/platform/catalogues.py
@@ -116,6 +116,7 @@
         is_partitioned=bool(row.get('sharded')),
         cold_rate=float(row.get('warmup_per_s') or 0),
         warmup=durations.seconds_of(row.get('warmup') or '0s'),
+        health_path=row.get('health_check') or '/',
     )
 
 
--- a/src/bilberryglade/platform/entries.py
+++ b/src/bilberryglade/platform/entries.py
@@ -42,6 +42,5 @@
             cold_until=now + cold_seconds if cold_seconds else 0,
             sequence=entry['seq'],
             offset=record.offset,
-            refreshed_at=now,
         ),
     )
--- a/src/bilberryglade/platform/folds.py
+++ b/src/bilberryglade/platform/folds.py
@@ -56,11 +56,7 @@
                 decoded.err_value,
             )
             continue
-        target = decoded.ok_value
-        if reading.batch.is_whole:
-            # The newest entry of a target may be of any age.
-            target = target._replace(refreshed_at=0)
-        listed = directory.put(listed, target)
+        listed = directory.put(listed, decoded.ok_value)
     if reading.batch.is_whole:
         names = frozenset(record.key for record in reading.batch.records)
         listed = directory.retain(listed, names, reading.batch.end, keep_until)
--- a/src/bilberryglade/platform/headers.py
+++ b/src/bilberryglade/platform/headers.py
@@ -17,6 +17,8 @@
 ROUTING_KEY: typing.Final = 'x-shard-key'
 #: The one target that may run the request.
 EXPECTED_TARGET: typing.Final = 'x-target-instance'
+#: The target that tells of itself.
+ANSWERING_TARGET: typing.Final = 'x-instance-id'
 #: A target's mark on its own answer.
 SIGNATURE: typing.Final = 'x-response-signature'
 #: A target did not run the request, and will not.
--- a/src/bilberryglade/platform/orders.py
+++ b/src/bilberryglade/platform/orders.py
@@ -57,6 +57,26 @@
             lambda answered: headers.find(answered.headers, headers.HANDOVER),
         )
 
+    async def reach(self, target: leases.Holder, path: str) -> bool:
+        """Tells whether a target answers at its address, in whatever state.
+
+        An answer without a name may come from a later user of the address,
+        which refuses orders for another target.
+        """
+        call = sender.Call(
+            address=target.address,
+            method='GET',
+            path=path,
+            headers={headers.EXPECTED_TARGET: target.name},
+            body=b'',
+            seconds=GRANT_SECONDS,
+        )
+        outcome = await self.http.send(call, on_fresh=False)
+        if not isinstance(outcome, outcomes.Answered):
+            return False
+        named = headers.find(outcome.headers, headers.ANSWERING_TARGET)
+        return named in {'', target.name}
+
     async def _order(
         self,
         target: leases.Holder,
--- a/src/bilberryglade_stand_ins/owning_target.py
+++ b/src/bilberryglade_stand_ins/owning_target.py
@@ -85,6 +85,10 @@
         word = f'{self.name}-{first}'
         return responses.Response(headers={'x-handover': word})
 
+    async def tell(self, _: requests.Request) -> responses.Response:
+        """Tells that this target is there."""
+        return responses.Response(headers={'x-instance-id': self.name})
+
     async def run(self, request: requests.Request) -> responses.Response:
         """Runs a request, or says that it does not."""
         named = request.headers.get('x-target-instance', self.name)
@@ -120,6 +124,7 @@
                 routing.Route(
                     '/bilberryglade/release', self.release, methods=['POST']
                 ),
+                routing.Route('/health', self.tell),
                 routing.Route(
                     '/{path:path}', self.run, methods=['GET', 'POST', 'PUT']
                 ),
