After a call without an answer the next one takes a new connection to the store

Connections may fall silent for good without a reset. Each kept one then cost a call of 0.9 s in turn, while a configuration waited. The client now takes a new connection after a call that had no answer, until one is answered. test_call_after_one_without_an_answer failed before (it saw kept connections).

--- a/src/bilberryglade/platform/store.py
+++ b/src/bilberryglade/platform/store.py
@@ -46,6 +46,9 @@
         self.address = address
         self.http = http
         self.calls = 0
+        #: Whether the last call had no answer: connections that are kept may
+        #: have fallen silent with its own.
+        self.is_doubted = False
 
     async def append(
         self,
@@ -177,7 +180,11 @@
             body=body,
             seconds=seconds,
         )
-        outcome = await self.http.send(call, on_fresh=False)
+        outcome: outcomes.Outcome | None = None
+        try:
+            outcome = await self.http.send(call, on_fresh=self.is_doubted)
+        finally:
+            self.is_doubted = not isinstance(outcome, outcomes.Answered)
         if isinstance(outcome, outcomes.NotRun):
             return result.Err(stored.Failure.refused)
         if isinstance(outcome, outcomes.Unknown):
--- a/src/bilberryglade/platform/tests/test_store.py
+++ b/src/bilberryglade/platform/tests/test_store.py
@@ -1,10 +1,12 @@
 """The store's client against a stand-in that keeps the published rules."""
 
 import unittest
+from unittest import mock
 
 import result
 
-from bilberryglade._values import stored
+from bilberryglade._values import outcomes, stored
+from bilberryglade.platform import store
 from bilberryglade.platform.tests import servers
 
 TOPIC = 'test'
@@ -99,3 +101,20 @@
         await self.store.running.stop()
         gone = await self.client.newest(TOPIC)
         self.assertIsInstance(gone, result.Err)
+
+    async def test_call_after_one_without_an_answer(self) -> None:
+        """It goes over a new connection; those that are kept may be silent."""
+        http = mock.AsyncMock()
+        page = outcomes.Answered(
+            200, (), b'{"items":[],"has_more":false,"end":0}'
+        )
+        http.send.side_effect = (
+            outcomes.Unknown(outcomes.Reason.deadline),
+            page,
+            page,
+        )
+        client = store.StoreClient('127.0.0.1:1', http)
+        for _ in range(3):
+            await client.newest(TOPIC)
+        fresh = [call.kwargs['on_fresh'] for call in http.send.call_args_list]
+        self.assertEqual(fresh, [False, True, False])
