A failure domain that operators restored is not told to others as taken out

An instance that learnt of the end by a whole reading kept the dropped record, and passed it to instances that start as if it were in force: they sent nothing to that domain until their next whole reading.

--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -261,6 +261,8 @@
         self.known = knowledge.learn(self.known, topic, batch, read_at)
         _note_targets(before, self.known.directory)
         kept = self.newest.setdefault(topic, {})
+        if batch.is_whole:
+            _forget_dropped(kept, batch)
         for record in batch.records:
             known = kept.get(record.key)
             if known is not None and known.offset >= record.offset:
@@ -307,3 +309,14 @@
             change.what,
             target.offset,
         )
+
+
+def _forget_dropped(
+    kept: dict[str, stored.Record],
+    batch: stored.Batch,
+) -> None:
+    """Removes the keys that a whole reading does not name any more."""
+    named = {record.key for record in batch.records}
+    for key, record in list(kept.items()):
+        if key not in named and record.offset < batch.end:
+            kept.pop(key)
--- a/src/bilberryglade/_knowledge/tests/test_reading.py
+++ b/src/bilberryglade/_knowledge/tests/test_reading.py
@@ -103,6 +103,19 @@
         assert known is not None
         self.assertEqual(known.version, 9)
 
+    def test_restored_failure_domain_is_not_told_as_taken_out(self) -> None:
+        """What a whole reading does not name any more is passed to nobody."""
+        out: messages.RelayedRecord = {
+            'key': 'evacuate/a',
+            'offset': 3,
+            'value': b'{}',
+        }
+        self.reader.hear(relay(topics.OPERATOR, 0, 4, out, is_whole=True))
+        self.reader.hear(relay(topics.OPERATOR, 4, 9, is_whole=True))
+        told = self.reader.whole(topics.OPERATOR)
+        assert told is not None
+        self.assertEqual(told['records'], [])
+
     def test_unknown_topic(self) -> None:
         """A message on another topic is left out."""
         self.reader.hear(relay('other', 0, 1, listed('t', 0)))
