A change of the operators is in force in time though a poll is held up unheard

A long poll of 5 s that is held up without a reset was given up after 5.9 s only, and the coordinator's word bounded nothing: it compared the newest offset alone, and its own poll may be held up as well.

What is known now counts as confirmed only by an answer of the store or by a coordinator that knows the same and says how old that is (newest offset, and the sum over all keys). After 1.2 s without either the poll is given up and everything is read anew over a new connection: worst case 1.2 s + one call (4 ms as usual, 0.9 s at most) with 2 s allowed.

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -20,6 +20,7 @@
 )
 from bilberryglade._instance import serving
 from bilberryglade._knowledge import (
+    operators,
     peer_handlers,
     reading,
     topics,
@@ -88,6 +89,7 @@
         self.candidacy = candidacy.Candidacy(self.fleet, client)
         self.enrolment = enrolment.Enrolment(self.fleet, client, self.candidacy)
         self.reader = reading.Reader(self.fleet, client, self.candidacy)
+        self.operators = operators.Operators(self.reader)
         self.targets = sender.Sender(
             TARGET_CONNECTIONS, ANSWER_BYTES, TARGET_IDLE_MS
         )
@@ -165,6 +167,7 @@
     def lead(self) -> None:
         """Tells all others that this instance coordinates."""
         if self.candidacy.holds:
+            mark = self.operators.mark()
             message: messages.Lead = {
                 'kind': 'lead',
                 'sender': self.place.instance,
@@ -172,7 +175,9 @@
                 'claim': self.candidacy.state.newest,
                 'tables_version': self.steward.tables.version,
                 'tables_change': self.steward.tables.change,
-                'operator_offset': self.reader.newest_offset(topics.OPERATOR),
+                'operator_offset': mark.newest,
+                'operator_total': mark.total,
+                'operator_age_ms': self.operators.age_ms(),
             }
             self.fleet.send_all(message)
 
@@ -258,7 +263,7 @@
             parts.candidacy.keep(),
             parts.enrolment.follow(),
             parts.enrolment.sweep(),
-            parts.reader.follow_operator(),
+            parts.operators.follow(),
             parts.reader.follow_targets(),
             parts.steward.keep(),
             parts.reporter.keep(),
--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from bilberryglade._knowledge import topics
 from bilberryglade._membership import fleet as members
 from bilberryglade._peers import handlers
 from bilberryglade_schema import fleet
@@ -35,7 +36,7 @@
     """Takes in the coordinator's sign of life."""
     parts.candidacy.hear(message)
     parts.steward.hear_lead(message)
-    parts.reader.hear_lead(message)
+    parts.operators.hear_lead(message)
 
 
 @handlers.handler_for('report', fleet.Report)
@@ -75,7 +76,7 @@
 @handlers.handler_for('relay_ask', fleet.RelayAsk)
 def handle_relay_ask(parts: 'entry.Parts', message: fleet.RelayAsk) -> None:
     """Sends the operators' records to an instance that has missed some."""
-    parts.reader.tell_operator(message['sender'])
+    parts.reader.tell_all(topics.OPERATOR, message['sender'])
 
 
 @handlers.handler_for('assignment', fleet.Assignment)
--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -19,8 +19,6 @@
 from bilberryglade.platform import store
 from bilberryglade_schema import fleet as messages
 
-#: Milliseconds for which a read of the operators' topic waits for news.
-OPERATOR_WAIT_MS: typing.Final = 5000
 #: Seconds between reads of the targets' entries.
 TARGETS_PAUSE_SECONDS: typing.Final = 0.3
 #: Age of knowledge from which the instance with the first turn reads.
@@ -58,27 +56,6 @@
         #: Whether the last call of this instance was answered, by topic.
         self.is_answered: dict[str, bool] = {}
 
-    async def follow_operator(self) -> None:
-        """Follows the operators' records by long polls until cancelled."""
-        topic = topics.OPERATOR
-        while True:
-            began = clock.now()
-            end = self.known.ends.get(topic)
-            if end is None or not self.is_answered.get(topic, False):
-                batch = await self.client.newest(topic)
-            else:
-                batch = await self.client.read(topic, end, OPERATOR_WAIT_MS)
-            self._note(topic, batch)
-            if isinstance(batch, result.Err):
-                await asyncio.sleep(RETRY_SECONDS)
-                continue
-            # A long poll says what holds at its end; what it began with is
-            # the safe side for a reading of everything.
-            read_at = began if batch.ok_value.is_whole else clock.now()
-            self._learn(topic, batch.ok_value, read_at)
-            if batch.ok_value.records and self._relays():
-                self._relay(topic, batch.ok_value, read_at)
-
     async def follow_targets(self) -> None:
         """Reads the targets' entries in turn until cancelled."""
         while True:
@@ -101,11 +78,11 @@
             batch = await self.client.newest(topic)
         else:
             batch = await self.client.read(topic, end, 0)
-        self._note(topic, batch)
+        self.note(topic, batch)
         if isinstance(batch, result.Err):
             return False
         before = self.known.directory
-        self._learn(topic, batch.ok_value, began)
+        self.learn(topic, batch.ok_value, began)
         news = batch.ok_value
         if not news.is_whole:
             news = news._replace(records=self._changing(news, before))
@@ -135,27 +112,10 @@
             end = known_end
             read_at = self.known.read_at[topic]
         batch = stored.Batch(records, end, relay['is_whole'])
-        self._learn(topic, batch, read_at)
-
-    def hear_lead(self, lead: messages.Lead) -> None:
-        """Evens out what the coordinator and this instance know of operators.
-
-        Whose reads of the store are refused or held up hears of a change from
-        those that were answered.
-        """
-        own = self.newest_offset(topics.OPERATOR)
-        if own < lead['operator_offset']:
-            ask: messages.RelayAsk = {
-                'kind': 'relay_ask',
-                'sender': self.members.own.name,
-            }
-            self.members.send(lead['sender'], ask)
-        elif own > lead['operator_offset']:
-            self.tell_operator(lead['sender'])
+        self.learn(topic, batch, read_at)
 
-    def tell_operator(self, name: str) -> None:
-        """Sends all operators' records that are known to an instance."""
-        topic = topics.OPERATOR
+    def tell_all(self, topic: str, name: str) -> None:
+        """Sends all records of a topic that are known to an instance."""
         read_at = self.known.read_at.get(topic)
         if read_at is None:
             return
@@ -164,11 +124,6 @@
         batch = stored.Batch(records, end, is_whole=False)
         self.members.send(name, self._message(topic, batch, read_at))
 
-    def newest_offset(self, topic: str) -> int:
-        """Returns the offset of the newest record known, -1 if none is."""
-        records = self.newest.get(topic, {}).values()
-        return max((record.offset for record in records), default=-1)
-
     def expire(self) -> None:
         """Drops targets whose entries did not come back in time."""
         listed = directories.expire(self.known.directory, clock.now())
@@ -190,6 +145,51 @@
         batch = stored.Batch(records, end, is_whole=True)
         return self._message(topic, batch, self.known.read_at[topic])
 
+    def relays(self) -> bool:
+        """Tells whether this instance passes on what it reads."""
+        return self.lease.holds or not self.lease.coordinator
+
+    def relay(self, topic: str, batch: stored.Batch, read_at: float) -> None:
+        """Sends what was read at `read_at` to all others."""
+        message = self._message(topic, batch, read_at)
+        if topic not in self.relayed:
+            message = self.whole(topic) or message
+        self.members.send_all(message)
+        self.relayed[topic] = batch.end
+
+    def learn(self, topic: str, batch: stored.Batch, read_at: float) -> None:
+        """Takes in what was read at `read_at`."""
+        before = self.known.directory
+        self.known = knowledge.learn(self.known, topic, batch, read_at)
+        _note_targets(before, self.known.directory)
+        kept = self.newest.setdefault(topic, {})
+        if batch.is_whole:
+            _forget_dropped(kept, batch)
+        for record in batch.records:
+            known = kept.get(record.key)
+            if known is not None and known.offset >= record.offset:
+                continue
+            kept[record.key] = record
+        if batch.records or batch.is_whole:
+            self._tell()
+
+    def note(
+        self,
+        topic: str,
+        batch: result.Result[stored.Batch, stored.Failure],
+    ) -> None:
+        """Takes in whether the store answered a read of a topic."""
+        is_answered = isinstance(batch, result.Ok)
+        if self.is_answered.get(topic) == is_answered:
+            return
+        self.is_answered[topic] = is_answered
+        if isinstance(batch, result.Ok):
+            loguru.logger.info('store answers: {}', topic)
+            return
+        loguru.logger.warning(
+            'store gives no answer: {}, {}', topic, batch.err_value
+        )
+
     def _changing(
         self,
         news: stored.Batch,
@@ -214,23 +214,13 @@
         turn = names.index(self.members.own.name)
         return age > TURN_SECONDS + turn * TURN_STEP_SECONDS
 
-    def _relays(self) -> bool:
-        return self.lease.holds or not self.lease.coordinator
-
     def _relay_targets(self, news: stored.Batch, read_at: float) -> None:
         now = clock.now()
         is_quiet = not news.records
         if is_quiet and now - self.quiet_since < QUIET_RELAY_SECONDS:
             return
         self.quiet_since = now
-        self._relay(topics.TARGETS, news, read_at)
-
-    def _relay(self, topic: str, batch: stored.Batch, read_at: float) -> None:
-        message = self._message(topic, batch, read_at)
-        if topic not in self.relayed:
-            message = self.whole(topic) or message
-        self.members.send_all(message)
-        self.relayed[topic] = batch.end
+        self.relay(topics.TARGETS, news, read_at)
 
     def _message(
         self,
@@ -256,41 +246,10 @@
             ],
         }
 
-    def _learn(self, topic: str, batch: stored.Batch, read_at: float) -> None:
-        before = self.known.directory
-        self.known = knowledge.learn(self.known, topic, batch, read_at)
-        _note_targets(before, self.known.directory)
-        kept = self.newest.setdefault(topic, {})
-        if batch.is_whole:
-            _forget_dropped(kept, batch)
-        for record in batch.records:
-            known = kept.get(record.key)
-            if known is not None and known.offset >= record.offset:
-                continue
-            kept[record.key] = record
-        if batch.records or batch.is_whole:
-            self._tell()
-
     def _tell(self) -> None:
         for listener in self.listeners:
             listener()
 
-    def _note(
-        self,
-        topic: str,
-        batch: result.Result[stored.Batch, stored.Failure],
-    ) -> None:
-        is_answered = isinstance(batch, result.Ok)
-        if self.is_answered.get(topic) == is_answered:
-            return
-        self.is_answered[topic] = is_answered
-        if isinstance(batch, result.Ok):
-            loguru.logger.info('store answers: {}', topic)
-            return
-        loguru.logger.warning(
-            'store gives no answer: {}, {}', topic, batch.err_value
-        )
-
 
 def _note_targets(
     before: directories.Directory,
--- a/src/bilberryglade/_membership/tests/test_candidacy.py
+++ b/src/bilberryglade/_membership/tests/test_candidacy.py
@@ -32,6 +32,8 @@
         'tables_version': 0,
         'tables_change': 0,
         'operator_offset': -1,
+        'operator_total': 0,
+        'operator_age_ms': 1,
     }
 
 
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -32,6 +32,8 @@
     tables_version: int
     tables_change: int
     operator_offset: int
+    operator_total: int
+    operator_age_ms: int
 
 
 class Report(TypedDict):
