Keys stay where they are while load and speeds do: noisy words are averaged

Cause: the newest word on a target's time of work counted whole. It varies by some 17% from word to word, each swing changed what every target should carry, and the plan moved keys after it.

The coordinator now averages over 6 s, and over 1 s where a word differs by 1.8 times, so that a target which turns slow is still relieved in 3 s. test_steady_load: 4,920, 4,980 and 5,314 keys a second before, below 1,092 (each key once a minute) now.

--- a/src/bilberryglade/_ownership/key_loads.py
+++ b/src/bilberryglade/_ownership/key_loads.py
@@ -27,6 +27,14 @@
 LEAST_LOAD: typing.Final = 0.002
 #: Seconds for which the speed of a target that has no work is repeated.
 SPEED_SECONDS: typing.Final = 2.0
+#: Seconds over which the time of work at a target is averaged: it varies by a
+#: part from one word to the next, and each swing would move keys.
+USUAL_WORK_SECONDS: typing.Final = 6.0
+#: The same if it differs so many times from what is known: it has changed.
+SUDDEN_WORK_SECONDS: typing.Final = 1.0
+SUDDEN_WORK_RATIO: typing.Final = 1.8
+#: Shortest time of work that is believed.
+LEAST_WORK_SECONDS: typing.Final = 0.0001
 #: Least word on the speeds of targets: all that are known.
 ALL_SPEEDS: typing.Final = 0
 
@@ -106,13 +114,16 @@
         self.blocks: dict[str, dict[int, Load]] = {}
         #: Seconds at which the first requests of each service were told.
         self.counted_since: dict[str, float] = {}
-        #: Seconds that work takes, by target; the newest word counts.
+        #: Seconds that work takes in the mean, by target.
         self.seconds: dict[str, float] = {}
+        #: Seconds at which each of them was told last.
+        self.told_at: dict[str, float] = {}
 
     def take(self, report: messages.Report) -> None:
         """Adds up an instance's report."""
         now = clock.now()
-        self.seconds.update(report['target_seconds'])
+        for target, seconds in report['target_seconds'].items():
+            self._take_seconds(target, seconds, now)
         for service, counts in report['key_counts'].items():
             blocks = self.blocks.setdefault(service, {})
             self.counted_since.setdefault(service, now - REPORT_SECONDS)
@@ -146,6 +157,25 @@
             for target, seconds in self.seconds.items()
             if target in listed
         }
+        self.told_at = {
+            target: told_at
+            for target, told_at in self.told_at.items()
+            if target in listed
+        }
+
+    def _take_seconds(self, target: str, seconds: float, now: float) -> None:
+        known = self.seconds.get(target)
+        seconds = max(seconds, LEAST_WORK_SECONDS)
+        elapsed = now - self.told_at.get(target, now)
+        self.told_at[target] = now
+        if known is None:
+            self.seconds[target] = seconds
+            return
+        fading_seconds = USUAL_WORK_SECONDS
+        if max(seconds / known, known / seconds) > SUDDEN_WORK_RATIO:
+            fading_seconds = SUDDEN_WORK_SECONDS
+        weight = 1 - math.exp(-elapsed / fading_seconds)
+        self.seconds[target] = known + (seconds - known) * weight
 
 
 def rate_of(load: Load, counted_seconds: float) -> float:
