Instances hear what changes in the tables of owners, not the whole each time

The coordinator now tells the whole once a term and then the ranges that are not the same, naming the tables that they change; whoever does not know these asks for the whole, as it does already when the sign of life names tables that it has not heard of.

--- a/src/bilberryglade/_ownership/owners.py
+++ b/src/bilberryglade/_ownership/owners.py
@@ -1,5 +1,6 @@
 """What an instance knows of the owners of keys, from the coordinator."""
 
+import bisect
 import math
 import typing
 from collections import abc
@@ -52,6 +53,39 @@
     return other if is_newer(other, known) else known
 
 
+def differing(
+    before: Tables,
+    after: Tables,
+) -> abc.Mapping[str, tuple[Owned, ...]]:
+    """Returns the ranges of `after` that are not the same in `before`."""
+    found: dict[str, tuple[Owned, ...]] = {}
+    for service, entries in after.services.items():
+        known = set(before.services.get(service, ()))
+        others = tuple(owned for owned in entries if owned not in known)
+        if others:
+            found[service] = others
+    return found
+
+
+def overlaid(known: Tables, news: Tables) -> Tables:
+    """Returns `known` with the ranges of `news` in place of those they cover.
+
+    Every range that is not the same is among `news`, so that these cover
+    whole ranges.
+    """
+    services = dict(known.services)
+    for service, entries in news.services.items():
+        kept = [
+            owned
+            for owned in services.get(service, ())
+            if not _is_covered(owned.entry, entries)
+        ]
+        services[service] = tuple(
+            sorted((*kept, *entries), key=lambda owned: owned.entry.first)
+        )
+    return Tables(news.version, news.change, services)
+
+
 def find(tables: Tables, service: str, key: int) -> Owned | None:
     """Returns the range of `key`, or None if nobody was assigned it."""
     owned = tables.services.get(service, ())
@@ -177,6 +211,17 @@
     )
 
 
+def _is_covered(entry: ranges.Range, news: abc.Sequence[Owned]) -> bool:
+    """Tells whether a range overlaps one of `news`, which are in order."""
+    place = bisect.bisect(news, entry.first, key=_last_key)
+    return place < len(news) and news[place].entry.first <= entry.last
+
+
+def _last_key(owned: Owned) -> int:
+    # The range that ends at a key covers it as well.
+    return owned.entry.last + 1
+
+
 def _row(
     entry: ranges.Range,
     places: dict[ranges.Owner, int],
--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -21,6 +21,7 @@
     owners,
     planning,
     ranges,
+    table_news,
 )
 from bilberryglade._targets import directory
 from bilberryglade._values import clock, stored
@@ -79,7 +80,7 @@
         self.started_at: float = 0
         self.balanced_at: float = 0
         self.looked_at: float = 0
-        self.is_told = True
+        self.news = table_news.TableNews(members)
 
     async def keep(self) -> None:
         """Runs until it is cancelled."""
@@ -106,19 +107,14 @@
         """Takes in the tables of the coordinator."""
         if self.lease.holds:
             return
-        heard = owners.from_message(message, message['version'])
-        self.tables = owners.newer(self.tables, heard)
+        self.tables = self.news.take(self.tables, message)
 
     def hear_lead(self, lead: messages.Lead) -> None:
         """Asks for the tables if some were missed."""
         told = owners.Tables(lead['tables_version'], lead['tables_change'])
         if not owners.is_newer(told, self.tables):
             return
-        ask: messages.AssignmentAsk = {
-            'kind': 'assignment_ask',
-            'sender': self.members.own.name,
-        }
-        self.members.send(lead['sender'], ask)
+        self.news.ask(lead['sender'])
 
     def message(self) -> messages.Assignment:
         """Returns the tables as a message."""
@@ -183,6 +179,7 @@
             self.addresses,
         )
         self.sequence = 0
+        self.news.begin()
         self.planned.clear()
         self.started_at = clock.now()
         self.term = term
@@ -201,9 +198,7 @@
             self.lessor.target_of, self.candidates.health_path
         )
         self._mark_granted(clock.now())
-        if not self.is_told:
-            self.is_told = True
-            self.members.send_all(self.message())
+        self.news.tell(self.tables)
 
     def _wanted(self, now: float) -> Wanted | None:
         """Returns the tables that are wanted, or None if these are."""
@@ -347,7 +342,6 @@
 
     def _change_told(self) -> None:
         self.tables = self.tables._replace(change=self.tables.change + 1)
-        self.is_told = False
 
 
 def _note_plan(
--- a/src/bilberryglade/_ownership/tests/test_owners.py
+++ b/src/bilberryglade/_ownership/tests/test_owners.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from bilberryglade._codec import codec
 from bilberryglade._ownership import owners, ranges
 from bilberryglade_schema import fleet as messages
@@ -63,3 +66,53 @@
         self.assertEqual(sorted(names), ['t1', 't2'])
         many = owners.to_table(self.tables.services['s'] * 200)
         self.assertLess(len(codec.encode_packed(many)) / 600, 16)
+
+
+class ChangeTests(unittest.TestCase):
+    """Tables that are told by what has changed in them."""
+
+    @hypothesis.given(
+        strategies.lists(strategies.integers(1, 4095), max_size=9),
+        strategies.lists(strategies.integers(1, 4095), max_size=9),
+        strategies.integers(0, 3),
+    )
+    def test_overlaid(
+        self,
+        before: list[int],
+        after: list[int],
+        kept: int,
+    ) -> None:
+        """Whoever knows the earlier tables comes to the same later ones."""
+        earlier = owners.Tables(1, 0, {'s': _cut_at(before, 2)})
+        cuts = after + before[:kept]
+        later = owners.Tables(2, 4, {'s': _cut_at(cuts, 2), 'u': ()})
+        news = owners.Tables(2, 4, owners.differing(earlier, later))
+        found = owners.overlaid(earlier, news)
+        self.assertEqual(found.services['s'], later.services['s'])
+        self.assertEqual((found.version, found.change), (2, 4))
+
+    def test_only_what_differs_is_told(self) -> None:
+        """A range that was granted is told alone."""
+        entries = _cut_at([100, 200, 300], 2)
+        granted = entries[1]._replace(is_moving=not entries[1].is_moving)
+        later = (entries[0], granted, *entries[2:])
+        found = owners.differing(
+            owners.Tables(1, 0, {'s': entries}),
+            owners.Tables(1, 1, {'s': later}),
+        )
+        self.assertEqual(found, {'s': (granted,)})
+
+
+def _cut_at(borders: list[int], fence: int) -> tuple[owners.Owned, ...]:
+    """Returns a whole table cut at blocks, with two owners in turn."""
+    firsts = [0, *sorted({border * ranges.BLOCK_KEYS for border in borders})]
+    ends = [*firsts[1:], 65_536]
+    return tuple(
+        owners.Owned(
+            ranges.Range(
+                first, end - 1, (FIRST, SECOND)[first // 16 % 2], fence
+            ),
+            is_moving=bool(first % 3),
+        )
+        for first, end in zip(firsts, ends, strict=True)
+    )
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -148,6 +148,8 @@
     sender: str
     version: int
     change: NotRequired[int]
+    base_version: NotRequired[int]
+    base_change: NotRequired[int]
     services: dict[str, OwnedTable]
     former: NotRequired[dict[str, FormerTable]]
 
