Messages between instances are counted by kind, and those to all are encoded once

What grows with the square of the instances could not be told apart: the metrics had one sum. bilberryglade_peer_messages_total and bilberryglade_peer_bytes_total name the kind now. A message to all others was encoded anew for each of them.

--- a/src/bilberryglade/_membership/fleet.py
+++ b/src/bilberryglade/_membership/fleet.py
@@ -103,8 +103,9 @@
 
     def send_all(self, message: abc.Mapping[str, object]) -> None:
         """Sends to every other member."""
-        for member in self.others():
-            self.peers.send(member.address, message)
+        self.peers.send_all(
+            (member.address for member in self.others()), message
+        )
 
     def hello(self, *, is_leaving: bool) -> messages.Hello:
         """Returns the message that this instance is here, or about to stop."""
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -1,13 +1,16 @@
 """Counters and histograms of the platform's requests, and their lines."""
 
 import typing
+from collections import abc
 
 import loguru
 import prometheus_client
+from prometheus_client import metrics_core, registry
 
 from bilberryglade._delivery import router
 from bilberryglade._knowledge import reading, topics
 from bilberryglade._ownership import steward
+from bilberryglade._peers import network
 from bilberryglade._routing import admission
 from bilberryglade._values import clock, outcomes
 
@@ -27,6 +30,31 @@
 MILLISECONDS: typing.Final = 1000
 
 
+class PeerCounts(registry.Collector):
+    """Messages to other instances by kind."""
+
+    def __init__(self, peers: network.PeerNetwork) -> None:
+        """Reads the counts of `peers`."""
+        self.peers = peers
+
+    def collect(self) -> abc.Iterator[metrics_core.Metric]:
+        """Returns the counts now."""
+        messages = metrics_core.CounterMetricFamily(
+            'bilberryglade_peer_messages',
+            'Messages sent to other instances.',
+            labels=('kind',),
+        )
+        sizes = metrics_core.CounterMetricFamily(
+            'bilberryglade_peer_bytes',
+            'Bytes of these before encryption and framing.',
+            labels=('kind',),
+        )
+        for kind, sent in self.peers.sent_kinds.items():
+            messages.add_metric((kind,), sent.messages)
+            sizes.add_metric((kind,), sent.size)
+        return iter((messages, sizes))
+
+
 class Exchanges:
     """Counts exchanges with callers and writes a line for each."""
 
@@ -93,6 +121,10 @@
             else None,
         ).info('request')
 
+    def watch_peers(self, peers: network.PeerNetwork) -> None:
+        """Counts what is sent to other instances from now on."""
+        self.registry.register(PeerCounts(peers))
+
     def scrape(self) -> bytes:
         """Returns all counters as text."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/bilberryglade/_peers/network.py
+++ b/src/bilberryglade/_peers/network.py
@@ -37,6 +37,14 @@
     cause: str
 
 
+class Sent(typing.NamedTuple):
+    """Messages of one kind that were sent."""
+
+    messages: int = 0
+    #: Bytes before encryption and framing.
+    size: int = 0
+
+
 class PeerNetwork:
     """Receives on one ROUTER socket, sends on one DEALER socket a peer."""
 
@@ -57,6 +65,8 @@
         self.sent_messages = 0
         #: Before encryption and framing.
         self.sent_bytes = 0
+        #: The same by kind of message.
+        self.sent_kinds: dict[str, Sent] = {}
 
     def open(self) -> None:
         """Binds the receiving socket; only holders of the fleet's key pass."""
@@ -79,17 +89,20 @@
 
         Returns False if the peer's queue is full; nothing was sent then.
         """
-        sender = self.senders.get(address)
-        if sender is None:
-            sender = self._connect(address)
+        return self._send_encoded(
+            address, str(message['kind']), codec.encode_packed(message)
+        )
+
+    def send_all(
+        self,
+        addresses: abc.Iterable[str],
+        message: abc.Mapping[str, object],
+    ) -> None:
+        """Queues a message for many peers, encoded once."""
+        kind = str(message['kind'])
         raw = codec.encode_packed(message)
-        try:
-            zmq.Socket.send(sender, raw, zmq.NOBLOCK)
-        except zmq.Again:
-            return False
-        self.sent_messages += 1
-        self.sent_bytes += len(raw)
-        return True
+        for address in addresses:
+            self._send_encoded(address, kind, raw)
 
     async def receive(
         self,
@@ -122,6 +135,20 @@
         self.authenticator.stop()
         self.context.destroy(LINGER_MS)
 
+    def _send_encoded(self, address: str, kind: str, raw: bytes) -> bool:
+        sender = self.senders.get(address)
+        if sender is None:
+            sender = self._connect(address)
+        try:
+            zmq.Socket.send(sender, raw, zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        self.sent_messages += 1
+        self.sent_bytes += len(raw)
+        known = self.sent_kinds.get(kind, Sent())
+        self.sent_kinds[kind] = Sent(known.messages + 1, known.size + len(raw))
+        return True
+
     def _connect(self, address: str) -> zmq_asyncio.Socket:
         sender = self.context.socket(zmq.DEALER)
         sender.curve_serverkey = self._public_key()
--- a/src/bilberryglade/_peers/tests/test_network.py
+++ b/src/bilberryglade/_peers/tests/test_network.py
@@ -4,6 +4,7 @@
 
 import zmq
 
+from bilberryglade._codec import codec
 from bilberryglade._peers import network
 
 #: Time after a partition's end by which instances should speak again.
@@ -28,3 +29,25 @@
         wait = int(sender.connect_timeout)
         self.assertGreater(wait, 0)
         self.assertLessEqual(wait + int(sender.reconnect_ivl_max), BACK_MS)
+
+
+class CountTests(unittest.IsolatedAsyncioTestCase):
+    """What is counted of the messages that are sent."""
+
+    async def test_by_kind(self) -> None:
+        """A message to many is counted for each of them."""
+        public, secret = zmq.curve_keypair()
+        keys = {'public_key': public.decode(), 'secret_key': secret.decode()}
+        peers = network.PeerNetwork(
+            '127.0.0.1:1',
+            keys,  # type: ignore[arg-type]
+            10,
+        )
+        self.addCleanup(peers.context.destroy, 0)
+        peers.send_all(('127.0.0.1:9', '127.0.0.1:8'), {'kind': 'x'})
+        peers.send('127.0.0.1:9', {'kind': 'y'})
+        size = len(codec.encode_packed({'kind': 'x'}))
+        self.assertEqual(
+            peers.sent_kinds,
+            {'x': network.Sent(2, size * 2), 'y': network.Sent(1, size)},
+        )
