Heartbeats of connections between instances come from one side, once a second

Each instance has a connection to each other one and from it. Both sides of each asked twice a second: 69 instances sent 18,768 heartbeats a second and as many answers, more bytes than all messages but the tables. Now the side that connects asks once a second, and the other drops a connection after 3 s without any word. A silent connection is found in 2.5 s, less than the 3 s after which its instance counts as in reach again.

--- a/src/bilberryglade/_peers/network.py
+++ b/src/bilberryglade/_peers/network.py
@@ -13,8 +13,15 @@
 from bilberryglade_schema import peer, settings
 
 MAX_MESSAGE_BYTES: typing.Final = 20_971_520
-HEARTBEAT_MS: typing.Final = 500
+#: Time between two heartbeats of the side that connects, and for their answer:
+#: a connection that fell silent is given up before its peer counts as in reach
+#: again. The other side only answers, since heartbeats grow with the square of
+#: the instances.
+HEARTBEAT_MS: typing.Final = 1000
 HEARTBEAT_TIMEOUT_MS: typing.Final = 1500
+#: Silence after which the side that answers drops a connection; in steps of
+#: 100 ms.
+HEARTBEAT_TTL_MS: typing.Final = 3000
 LINGER_MS: typing.Final = 0
 #: Longest wait for a connection: the system would ask again only after ever
 #: longer pauses, long after a partition has healed.
@@ -154,6 +161,9 @@
         sender.curve_serverkey = self._public_key()
         self._secure(sender)
         self._bound(sender)
+        sender.heartbeat_ivl = HEARTBEAT_MS
+        sender.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
+        sender.heartbeat_ttl = HEARTBEAT_TTL_MS
         sender.connect_timeout = CONNECT_MS
         sender.reconnect_ivl = RECONNECT_MS
         sender.reconnect_ivl_max = LONGEST_RECONNECT_MS
@@ -168,8 +178,6 @@
     def _bound(self, socket: zmq_asyncio.Socket) -> None:
         socket.set_hwm(self.queue_length)
         socket.maxmsgsize = MAX_MESSAGE_BYTES
-        socket.heartbeat_ivl = HEARTBEAT_MS
-        socket.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
         socket.linger = LINGER_MS
 
     def _public_key(self) -> bytes:
--- a/src/bilberryglade/_peers/tests/test_network.py
+++ b/src/bilberryglade/_peers/tests/test_network.py
@@ -9,6 +9,8 @@
 
 #: Time after a partition's end by which instances should speak again.
 BACK_MS = 1000
+#: Time after which an instance that suffered a fault counts as in reach.
+CONTACT_MS = 3000
 
 
 class HealingTests(unittest.IsolatedAsyncioTestCase):
@@ -31,6 +33,27 @@
         self.assertLessEqual(wait + int(sender.reconnect_ivl_max), BACK_MS)
 
 
+class SilenceTests(unittest.IsolatedAsyncioTestCase):
+    """A connection on which nothing arrives any more, without a reset."""
+
+    async def test_given_up_before_the_peer_counts_as_in_reach(self) -> None:
+        """Heartbeats of one side find it, and both sides drop it."""
+        public, secret = zmq.curve_keypair()
+        keys = {'public_key': public.decode(), 'secret_key': secret.decode()}
+        peers = network.PeerNetwork(
+            '127.0.0.1:1',
+            keys,  # type: ignore[arg-type]
+            10,
+        )
+        self.addCleanup(peers.context.destroy, 0)
+        peers.send('127.0.0.1:9', {'kind': 'x'})
+        sender = peers.senders['127.0.0.1:9']
+        found_ms = int(sender.heartbeat_ivl) + int(sender.heartbeat_timeout)
+        self.assertLess(found_ms + int(sender.reconnect_ivl), CONTACT_MS)
+        self.assertGreater(int(sender.heartbeat_ttl), int(sender.heartbeat_ivl))
+        self.assertEqual(int(peers.receiver.heartbeat_ivl), 0)
+
+
 class CountTests(unittest.IsolatedAsyncioTestCase):
     """What is counted of the messages that are sent."""
 
