What a target took after a lost order is waited for, whichever life took it

Since a target out of reach is granted keys again as soon as it answers, it may have started again under its name before its new entry was read. The hold was noted for the earlier life then, and the new entry ended it: another target could have been granted the same keys meanwhile (two owners). Holds ordered after a failure, or by an earlier coordinator, now end by a release or by their time alone; the target itself never waits for them.

--- a/src/bilberryglade/_ownership/holds.py
+++ b/src/bilberryglade/_ownership/holds.py
@@ -31,6 +31,9 @@
     is_released: bool = False
     #: What the target said at its release.
     handover: str = ''
+    #: Whether no later life of the target can have taken an order; then a new
+    #: start of it ends the lease.
+    is_life_sure: bool = True
 
 
 def lease_end(sent_at: float, seconds: float) -> float:
@@ -42,8 +45,13 @@
     holds: tuple[Hold, ...],
     entry: ranges.Range,
     until: float,
+    *,
+    is_life_sure: bool = True,
 ) -> tuple[Hold, ...]:
-    """Takes in that a lease is being ordered, before the order is sent."""
+    """Takes in that a lease is being ordered, before the order is sent.
+
+    `is_life_sure` tells whether it can reach the owner's own life alone.
+    """
     kept: list[Hold] = []
     found = False
     for hold in holds:
@@ -53,6 +61,7 @@
                 until=max(hold.until, until),
                 unanswered_until=max(hold.unanswered_until, until),
                 is_released=False,
+                is_life_sure=hold.is_life_sure and is_life_sure,
             )
         kept.append(hold)
     if not found:
@@ -64,6 +73,7 @@
                 entry.fence,
                 until,
                 unanswered_until=until,
+                is_life_sure=is_life_sure,
             ),
         )
     return tuple(kept)
@@ -129,7 +139,7 @@
     return tuple(
         hold
         for hold in holds
-        if hold.owner != entry.owner
+        if hold.owner.target != entry.owner.target
         and hold.first <= entry.last
         and hold.last >= entry.first
         and is_held(hold, lives, now)
@@ -139,7 +149,7 @@
 def is_held(hold: Hold, lives: abc.Mapping[str, int], now: float) -> bool:
     """Tells whether the target may hold the keys at `now`."""
     born = lives.get(hold.owner.target, hold.owner.born)
-    if born > hold.owner.born:
+    if born > hold.owner.born and hold.is_life_sure:
         return False
     return now < end_of(hold)
 
--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -262,7 +262,10 @@
         before = self.holds.get(service, ())
         arrives_by = sent_at + orders.GRANT_SECONDS
         self.holds[service] = leased.ordered(
-            before, entry, leased.lease_end(arrives_by, seconds)
+            before,
+            entry,
+            leased.lease_end(arrives_by, seconds),
+            is_life_sure=not self.reach.was_failing(entry.owner),
         )
         lease = leases.Lease(
             entry.first,
@@ -324,7 +327,15 @@
 def _held(former: owners.Former, now: float) -> leased.Hold:
     entry = former.entry
     until = leased.lease_end(now, former.seconds)
-    return leased.Hold(entry.first, entry.last, entry.owner, entry.fence, until)
+    # Whether orders of an earlier coordinator had failed is not known.
+    return leased.Hold(
+        entry.first,
+        entry.last,
+        entry.owner,
+        entry.fence,
+        until,
+        is_life_sure=False,
+    )
 
 
 def _note(
--- a/src/bilberryglade/_ownership/tests/test_holds.py
+++ b/src/bilberryglade/_ownership/tests/test_holds.py
@@ -60,6 +60,18 @@
         lives = LIVES.set('old', 2)
         self.assertFalse(holds.in_the_way(self.held, NEW_RANGE, lives, 10))
 
+    def test_new_life_that_may_have_taken_the_order(self) -> None:
+        """It is waited for, unless it gives the keys back or keeps them."""
+        lives = LIVES.set('old', 2)
+        ordered = holds.ordered((), OLD_RANGE, 50, is_life_sure=False)
+        known = holds.confirmed(ordered, OLD_RANGE, before=0)
+        self.assertTrue(holds.in_the_way(known, NEW_RANGE, lives, 10))
+        self.assertFalse(holds.in_the_way(known, NEW_RANGE, lives, 50))
+        own = OLD_RANGE._replace(owner=ranges.Owner('old', 2), fence=8)
+        self.assertFalse(holds.in_the_way(known, own, lives, 10))
+        known = holds.released(known, known[0], NEW_RANGE, '')
+        self.assertFalse(holds.in_the_way(known, NEW_RANGE, lives, 10))
+
     def test_missing_entry(self) -> None:
         """A target that is not listed may well live and hold its keys."""
         self.assertTrue(holds.in_the_way(self.held, NEW_RANGE, {}, 10))
--- a/src/bilberryglade/_ownership/tests/test_lessor.py
+++ b/src/bilberryglade/_ownership/tests/test_lessor.py
@@ -7,7 +7,7 @@
 import result
 
 from bilberryglade._knowledge import knowledge
-from bilberryglade._ownership import lessor, owners, ranges
+from bilberryglade._ownership import holds, lessor, owners, ranges
 from bilberryglade._targets import directory
 from bilberryglade._targets.tests import samples
 from bilberryglade._values import clock, leases
@@ -40,9 +40,10 @@
         self.lessor.begin({}, {})
         await self.rounds(1)
 
-    def held_until(self) -> float:
-        """Returns until when the owner may hold its keys."""
-        return max(hold.until for hold in self.lessor.holds['s'])
+    def hold(self) -> holds.Hold:
+        """Returns what the owner may hold."""
+        (held,) = self.lessor.holds['s']
+        return held
 
     async def rounds(self, count: int) -> None:
         """Runs the orders that are due, a tenth of a second apart."""
@@ -65,14 +66,23 @@
         self.assertEqual(self.lessor.fenced, {('s', ENTRY)})
         self.assertFalse(self.lessor.reach.is_failing(OWNER))
 
+    async def test_order_after_a_lost_one_may_reach_a_later_life(self) -> None:
+        """A new start of the target does not end what it may hold."""
+        self.assertTrue(self.hold().is_life_sure)
+        self.orders.grant.return_value = result.Err(leases.Failure.unclear)
+        await self.rounds(7)
+        self.orders.grant.return_value = result.Ok(None)
+        await self.rounds(10)
+        self.assertFalse(self.hold().is_life_sure)
+
     async def test_lost_orders_do_not_prolong_what_it_may_hold(self) -> None:
         """After the first one its keys are free when that lease has ended."""
         self.orders.grant.return_value = result.Err(leases.Failure.unclear)
         self.orders.reach.return_value = False
         await self.rounds(7)
-        until = self.held_until()
+        until = self.hold().until
         await self.rounds(20)
-        self.assertEqual(self.held_until(), until)
+        self.assertEqual(self.hold().until, until)
         self.assertLess(until, self.began + 0.7 + 0.5 + 3.1)
 
     async def test_higher_fence_seen(self) -> None:
