A strong instance coordinates where there is one

An instance now leaves a free lease for 0.8 s to others with 1.5 times its processor time that it has heard in the last 3 s; where all are alike nothing changes.

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -84,6 +84,7 @@
             uuid.uuid4().hex,
             place.peer_address,
             place.failure_domain,
+            processor=place.processor,
         )
         self.fleet = fleet.Fleet(own, self.peers)
         self.candidacy = candidacy.Candidacy(self.fleet, client)
--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -26,6 +26,7 @@
             address=message['address'],
             failure_domain=message['failure_domain'],
             offset=parts.fleet.offset_of(name),
+            processor=message.get('processor', 1),
         ),
     )
     parts.greet(name)
--- a/src/bilberryglade/_membership/candidacy.py
+++ b/src/bilberryglade/_membership/candidacy.py
@@ -21,6 +21,11 @@
 #: Seconds between two looks; drawn anew each time so that few come together.
 LOOK_SECONDS: typing.Final = (0.25, 0.55)
 IDLE_SECONDS: typing.Final = 0.2
+#: Seconds for which an instance leaves a free lease to others that have this
+#: many times its processor time, and how lately these must have been heard.
+YIELD_SECONDS: typing.Final = 0.8
+STRONGER_RATIO: typing.Final = 1.5
+HEARD_SECONDS: typing.Final = 3.0
 #: Seconds after a call that failed.
 RETRY_SECONDS: typing.Final = 0.25
 LEAST_PAUSE_SECONDS: typing.Final = 0.05
@@ -42,6 +47,8 @@
         #: Name of the coordinator, '' while none is known.
         self.coordinator = ''
         self.term = -1
+        #: Seconds from which this instance has looked at the lease in vain.
+        self.looking_since: float = 0
         #: Seconds at which the coordinator's last sign of life arrived. Other
         #: messages of it do not count: it may have lost its lease.
         self.led_at = float('-inf')
@@ -100,6 +107,7 @@
             if self.state.role is leadership.Role.coordinator:
                 await self._renew()
             elif self.is_led:
+                self.looking_since = clock.now()
                 await asyncio.sleep(IDLE_SECONDS)
             else:
                 await self._look()
@@ -135,7 +143,7 @@
         may_claim = is_read and leadership.may_claim(
             self.state, self.members.own.address, clock.now()
         )
-        if may_claim:
+        if may_claim and not self._yields():
             seen = self.state.seen
             sent_at = clock.now()
             end = 0 if seen is None else seen.offset + 1
@@ -145,6 +153,22 @@
                 return
         await asyncio.sleep(random.uniform(*LOOK_SECONDS))
 
+    def _yields(self) -> bool:
+        """Tells whether to leave the lease to a stronger instance for now.
+
+        Orders, plans and words to all come from the coordinator alone; a weak
+        one falls behind with them in a large fleet, and loses the lease again.
+        """
+        if clock.now() - self.looking_since > YIELD_SECONDS:
+            return False
+        least = self.members.own.processor * STRONGER_RATIO
+        return any(
+            member.processor >= least
+            and self.members.silence_of(member.name) < HEARD_SECONDS
+            for member in self.members.others()
+            if member.name not in self.members.leaving
+        )
+
     async def _read(self) -> bool:
         """Reads the newest claim; returns whether the store answered."""
         newest = await self.client.newest(TOPIC)
--- a/src/bilberryglade/_membership/enrolment.py
+++ b/src/bilberryglade/_membership/enrolment.py
@@ -70,6 +70,7 @@
             'boot': own.boot,
             'address': own.address,
             'failure_domain': own.failure_domain,
+            'processor': own.processor,
         }
         payload = codec.encode_packed(entry)
         while True:
@@ -141,6 +142,7 @@
                 address=entry.ok_value['address'],
                 failure_domain=entry.ok_value['failure_domain'],
                 offset=record.offset,
+                processor=entry.ok_value.get('processor', 1),
             ),
         )
 
--- a/src/bilberryglade/_membership/fleet.py
+++ b/src/bilberryglade/_membership/fleet.py
@@ -19,6 +19,8 @@
     failure_domain: str
     #: Offset of its entry in the store; -1 if only its message is known.
     offset: int = -1
+    #: Processor time that it may use, in cores.
+    processor: float = 1
 
 
 class Fleet:
@@ -116,6 +118,7 @@
             'address': self.own.address,
             'failure_domain': self.own.failure_domain,
             'is_leaving': is_leaving,
+            'processor': self.own.processor,
         }
 
     def _forget_sockets(self) -> None:
--- a/src/bilberryglade/_membership/tests/test_candidacy.py
+++ b/src/bilberryglade/_membership/tests/test_candidacy.py
@@ -83,3 +83,43 @@
                     break
         keep.cancel()
         self.assertTrue(self.lease.holds)
+
+
+class StrengthTests(unittest.IsolatedAsyncioTestCase):
+    """A free lease, and another instance that was heard just now."""
+
+    async def asyncSetUp(self) -> None:
+        """Starts the store; nobody has claimed."""
+        self.store = await servers.start_store()
+        self.addAsyncCleanup(self.store.stop)
+        self.lease = follower(self.store.client)
+        self.lease.looking_since = clock.now()
+
+    def hear(self, processor: float) -> None:
+        """Hears of an instance with so many cores."""
+        strong = member('c')._replace(processor=processor)
+        self.lease.members.take(strong)
+        self.lease.members.hear('c')
+
+    async def look(self) -> bool:
+        """Looks once; returns whether the lease was claimed."""
+        await self.lease._look()  # noqa: WPS437
+        return self.lease.holds
+
+    async def test_stronger_instance_goes_first(self) -> None:
+        """A weak instance waits for it, for a limited time."""
+        self.hear(2.0)
+        self.assertFalse(await self.look())
+        self.lease.looking_since -= candidacy.YIELD_SECONDS
+        self.assertTrue(await self.look())
+
+    async def test_equal_instances_do_not_wait(self) -> None:
+        """Where all have about the same, the first to look coordinates."""
+        self.hear(1.2)
+        self.assertTrue(await self.look())
+
+    async def test_one_that_is_silent_is_not_waited_for(self) -> None:
+        """It may be lost with the coordinator."""
+        self.hear(2.0)
+        self.lease.members.heard['c'] -= candidacy.HEARD_SECONDS
+        self.assertTrue(await self.look())
--- a/src/bilberryglade/_values/site.py
+++ b/src/bilberryglade/_values/site.py
@@ -37,3 +37,5 @@
     #: Seconds between two signs of life of a target.
     target_beat: float
     bounds: Bounds
+    #: Processor time that the instance may use, in cores.
+    processor: float = 1
--- a/src/bilberryglade/platform/node_file.py
+++ b/src/bilberryglade/platform/node_file.py
@@ -41,9 +41,14 @@
         store_address=node['provider']['provider']['address'],
         target_beat=durations.seconds_of(node['provider']['heartbeat']),
         bounds=_bounds(node['terms']['bounds']),
+        processor=_processor(process.get('limits', {})),
     )
 
 
+def _processor(limits: provider.ProcessLimits) -> float:
+    return limits.get('cpu_share', 1) * limits.get('cores', 1)
+
+
 def _bounds(table: dict[str, typing.Any]) -> site.Bounds:
     return site.Bounds(
         config_apply=durations.seconds_of(table['config_apply']),
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -18,6 +18,7 @@
     address: str
     failure_domain: str
     is_leaving: bool
+    processor: NotRequired[float]
 
 
 class Lead(TypedDict):
@@ -183,6 +184,7 @@
     boot: str
     address: str
     failure_domain: str
+    processor: NotRequired[float]
 
 
 class PeerKeys(TypedDict):
--- a/src/bilberryglade_schema/provider.py
+++ b/src/bilberryglade_schema/provider.py
@@ -7,16 +7,13 @@
 Provider: TypeAlias = Any
 
 
-class SelfTable(TypedDict):
+class ProcessLimits(TypedDict):
     """
-    Who this process is.
+    What this process may use.
     """
 
-    node: str
-    ip: str
-    zone: str
-    region: str
-    bootstrap: NotRequired[bool]
+    cpu_share: NotRequired[float]
+    cores: NotRequired[float]
 
 
 class ListenTable(TypedDict):
@@ -66,17 +63,6 @@
     bounds: dict[str, Any]
 
 
-class NodeFile(TypedDict):
-    """
-    The settings file of a process.
-    """
-
-    self: SelfTable
-    network: NetworkTable
-    provider: ProviderTable
-    terms: TermsTable
-
-
 class Columns(TypedDict):
     """
     A table; each row has its values in the order of the columns.
@@ -204,3 +190,27 @@
     items: list[NewestItem]
     has_more: bool
     end: int
+
+
+class SelfTable(TypedDict):
+    """
+    Who this process is.
+    """
+
+    node: str
+    ip: str
+    zone: str
+    region: str
+    bootstrap: NotRequired[bool]
+    limits: NotRequired[ProcessLimits]
+
+
+class NodeFile(TypedDict):
+    """
+    The settings file of a process.
+    """
+
+    self: SelfTable
+    network: NetworkTable
+    provider: ProviderTable
+    terms: TermsTable
