Orders of leases leave the coordinator time for its own lease

At most 24 grants and 64 releases are on their way now, and renewals follow one another less closely from 96 ranges on, at most 1.4 s apart with leases of 2.8 s. What an order rests on is looked at again when its turn comes.

--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -28,6 +28,14 @@
 #: 3 s, and a lost coordinator is mostly replaced before leases end.
 LEASE_SECONDS: typing.Final = 2.8
 RENEWAL_SECONDS: typing.Final = 0.6
+#: Renewals a second from which they follow one another less closely, and the
+#: longest time between two of a range: half of a lease.
+MOST_RENEWALS_PER_SECOND: typing.Final = 160
+LONGEST_RENEWAL_SECONDS: typing.Final = 1.4
+#: Orders on their way at a time, each of grants and of releases: more would
+#: hold up the coordinator's claim, and its lease would end.
+MOST_GRANTS: typing.Final = 24
+MOST_RELEASES: typing.Final = 64
 #: Seconds without the store's word from which leases are made as long as
 #: targets accept, so that they outlast an outage.
 STORE_SILENCE_SECONDS: typing.Final = 1.0
@@ -65,6 +73,9 @@
         self.holds: dict[str, tuple[leased.Hold, ...]] = {}
         self.grants: dict[Slot, Grant] = {}
         self.busy: dict[Slot, asyncio.Task[None]] = {}
+        self.grant_places = asyncio.Semaphore(MOST_GRANTS)
+        self.release_places = asyncio.Semaphore(MOST_RELEASES)
+        self.renewal_seconds = RENEWAL_SECONDS
         #: Ranges that need a new fence, since a target saw a higher one.
         self.fenced: set[Slot] = set()
         #: Where each life of a target was reached last.
@@ -141,6 +152,9 @@
     def start_orders(self, tables: owners.Tables) -> None:
         """Starts the orders that are due."""
         now = clock.now()
+        self.renewal_seconds = renewal_seconds(
+            sum(map(len, tables.services.values()))
+        )
         for service, entries in tables.services.items():
             for owned in entries:
                 slot = (service, owned.entry)
@@ -212,13 +226,27 @@
                 for hold in self.blocking(service, entry)
             )
         )
-        target = self.target_of(entry.owner)
-        if target is None or not self.lease.holds:
-            return
+        async with self.grant_places:
+            target = self._free_owner(service, entry)
+            if target is not None:
+                await self._grant(service, entry, target)
+
+    def _free_owner(
+        self,
+        service: str,
+        entry: ranges.Range,
+    ) -> directory.Target | None:
+        """Returns the owner of a range if it may be granted now.
+
+        Tables, leases and targets may have changed while the order waited.
+        """
+        if not self.lease.holds or (service, entry) not in self.grants:
+            return None
         if self.reach.is_failing(entry.owner):
-            return
-        if not self.blocking(service, entry):
-            await self._grant(service, entry, target)
+            return None
+        if self.blocking(service, entry):
+            return None
+        return self.target_of(entry.owner)
 
     async def _release(
         self,
@@ -237,9 +265,12 @@
             last=min(hold.last, entry.last),
             fence=ranges.release_fence(entry),
         )
-        answer = await self.orders.release(
-            leases.Holder(hold.owner.target, address), lease, RELEASE_SECONDS
-        )
+        async with self.release_places:
+            answer = await self.orders.release(
+                leases.Holder(hold.owner.target, address),
+                lease,
+                RELEASE_SECONDS,
+            )
         if isinstance(answer, result.Err):
             _note('release', entry, hold.owner, answer.err_value)
             return
@@ -257,7 +288,8 @@
         target: directory.Target,
     ) -> None:
         self.addresses[entry.owner] = target.address
-        seconds = self._lease_seconds()
+        silence = clock.now() - self.lease.confirmed_at
+        seconds = lease_seconds(silence, self.longest_lease)
         sent_at = clock.now()
         before = self.holds.get(service, ())
         arrives_by = sent_at + orders.GRANT_SECONDS
@@ -285,7 +317,7 @@
         )
         is_first = not self.grants.get((service, entry), Grant()).until
         self.grants[service, entry] = Grant(
-            sent_at + seconds, sent_at + RENEWAL_SECONDS
+            sent_at + seconds, sent_at + self.renewal_seconds
         )
         if is_first:
             self.on_first_grant()
@@ -307,12 +339,16 @@
             )
         _note('grant', entry, entry.owner, failure)
 
-    def _lease_seconds(self) -> float:
-        """Returns a longer lease while the store does not answer."""
-        silence = clock.now() - self.lease.confirmed_at
-        if silence > STORE_SILENCE_SECONDS:
-            return self.longest_lease
-        return LEASE_SECONDS
+
+def lease_seconds(silence: float, longest: float) -> float:
+    """Returns how long a lease is made after the store's `silence`."""
+    return longest if silence > STORE_SILENCE_SECONDS else LEASE_SECONDS
+
+
+def renewal_seconds(count: int) -> float:
+    """Returns the time between two renewals of each of `count` ranges."""
+    needed = count / MOST_RENEWALS_PER_SECOND
+    return min(max(needed, RENEWAL_SECONDS), LONGEST_RENEWAL_SECONDS)
 
 
 def owner_of(target: directory.Target) -> ranges.Owner:
--- a/src/bilberryglade/_ownership/tests/test_lessor.py
+++ b/src/bilberryglade/_ownership/tests/test_lessor.py
@@ -92,3 +92,72 @@
         await self.rounds(7)
         self.assertFalse(self.lessor.reach.is_failing(OWNER))
         self.assertEqual(self.lessor.fenced, {('s', ENTRY)})
+
+
+class ManyRangesTests(unittest.IsolatedAsyncioTestCase):
+    """A table of many ranges, all to be granted at once."""
+
+    async def asyncSetUp(self) -> None:
+        """Nothing is granted yet."""
+        listed = directory.put(directory.Directory(), samples.target())
+        reader = mock.Mock(known=knowledge.Knowledge(directory=listed))
+        lease = mock.Mock(holds=True, confirmed_at=clock.now() + 3600)
+        self.orders = CountingOrders()
+        self.lessor = lessor.Lessor(
+            lease,
+            self.orders,  # type: ignore[arg-type]
+            reader,
+            10,
+        )
+        table = tuple(
+            owners.Owned(
+                ranges.Range(first, first + 15, OWNER, 2), is_moving=True
+            )
+            for first in range(0, 4800, 16)
+        )
+        self.lessor.start_orders(owners.Tables(1, 1, {'s': table}))
+
+    async def finish(self) -> None:
+        """Waits for all orders that were started."""
+        await asyncio.gather(*self.lessor.busy.values())
+
+    async def test_few_orders_at_a_time(self) -> None:
+        """The rest waits, so that the coordinator's claim does not."""
+        await self.finish()
+        self.assertEqual(self.orders.granted, 300)
+        self.assertEqual(self.orders.most, lessor.MOST_GRANTS)
+
+    async def test_what_changes_while_an_order_waits(self) -> None:
+        """A range that moved on meanwhile is granted to its old owner no more."""
+        await asyncio.sleep(0)
+        self.lessor.keep_only(frozenset())
+        await self.finish()
+        self.assertLessEqual(self.orders.granted, lessor.MOST_GRANTS)
+
+    def test_renewals_are_spread(self) -> None:
+        """Many ranges are renewed less often, and in time all the same."""
+        cases = ((20, 0.6), (96, 0.6), (160, 1.0), (400, 1.4))
+        for count, seconds in cases:
+            with self.subTest(count=count):
+                found = lessor.renewal_seconds(count)
+                self.assertAlmostEqual(found, seconds)
+                self.assertLess(found * 2, lessor.LEASE_SECONDS + 0.1)
+
+
+class CountingOrders:
+    """Confirms every grant after a moment."""
+
+    def __init__(self) -> None:
+        """Was given none."""
+        self.under_way = 0
+        self.most = 0
+        self.granted = 0
+
+    async def grant(self, *_: object) -> result.Result[None, leases.Failure]:
+        """Counts the grants on their way."""
+        self.under_way += 1
+        self.most = max(self.most, self.under_way)
+        await asyncio.sleep(0.001)
+        self.under_way -= 1
+        self.granted += 1
+        return result.Ok(None)
