A cancelled call ends though the HTTP library swallows the cancellation

Instances in that state end by SIGKILL at the end of the grace time, and a request whose caller has left goes on. The test failed before (the call came back as not run).

--- a/src/bilberryglade/_targets/sender.py
+++ b/src/bilberryglade/_targets/sender.py
@@ -69,7 +69,28 @@
         *,
         on_fresh: bool,
     ) -> outcomes.Outcome:
-        """Sends `call` once; `NotRun` means that no byte of it went out."""
+        """Sends `call` once; `NotRun` means that no byte of it went out.
+
+        The library may go on when its task is cancelled just as it has
+        something; the task ends all the same.
+        """
+        cancellations = _cancellations()
+        outcome = await self._exchange(call, on_fresh=on_fresh)
+        if _cancellations() > cancellations:
+            raise asyncio.CancelledError
+        return outcome
+
+    async def close(self) -> None:
+        """Closes every connection."""
+        await self.kept.aclose()
+        await self.fresh.aclose()
+
+    async def _exchange(
+        self,
+        call: Call,
+        *,
+        on_fresh: bool,
+    ) -> outcomes.Outcome:
         http = self.fresh if on_fresh else self.kept
         deadline = time.monotonic() + call.seconds
         exchange = connections.Exchange()
@@ -92,11 +113,6 @@
         finally:
             connections.current.set(None)
 
-    async def close(self) -> None:
-        """Closes every connection."""
-        await self.kept.aclose()
-        await self.fresh.aclose()
-
     async def _outcome(
         self,
         method: str,
@@ -115,6 +131,12 @@
         return outcomes.Answered(response.status_code, headers, body)
 
 
+def _cancellations() -> int:
+    """Returns how often the running task was asked to end."""
+    task = asyncio.current_task()
+    return 0 if task is None else task.cancelling()
+
+
 def _lost_reason(failure: BaseException) -> outcomes.Reason:
     late = (TimeoutError, exceptions.BaseTimeout)
     if isinstance(failure, late):
--- a/src/bilberryglade/_targets/tests/test_sender.py
+++ b/src/bilberryglade/_targets/tests/test_sender.py
@@ -39,3 +39,28 @@
             self.assertEqual(await ended, 'reset')
         await http.close()
         server.close()
+
+
+class CancellationTests(unittest.IsolatedAsyncioTestCase):
+    """A call whose task is cancelled."""
+
+    async def test_cancellation_that_the_library_swallows(self) -> None:
+        """The task ends, and does not go on as if nothing had been said."""
+        began = asyncio.Event()
+
+        async def swallow(*_: object, **__: object) -> None:  # noqa: WPS430
+            began.set()
+            try:
+                await asyncio.sleep(60)
+            except asyncio.CancelledError:
+                raise ConnectionResetError from None
+
+        http = sender.Sender(2, 1000)
+        self.addAsyncCleanup(http.close)
+        http.kept.request = swallow  # type: ignore[method-assign,assignment]
+        call = sender.Call('127.0.0.1:9', 'GET', '/', {}, b'', seconds=1)
+        task = asyncio.create_task(http.send(call, on_fresh=False))
+        await began.wait()
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
