--- a/src/bilberryglade/_targets/tests/test_sender.py
+++ b/src/bilberryglade/_targets/tests/test_sender.py
@@ -48,7 +48,7 @@
         """The task ends, and does not go on as if nothing had been said."""
         began = asyncio.Event()
 
-        async def swallow(*_: object, **__: object) -> None:  # noqa: WPS430
+        async def swallow(*_: object, **_kept: object) -> None:  # noqa: WPS430
             began.set()
             try:
                 await asyncio.sleep(60)
@@ -57,7 +57,7 @@
 
         http = sender.Sender(2, 1000)
         self.addAsyncCleanup(http.close)
-        http.kept.request = swallow  # type: ignore[method-assign,assignment]
+        http.kept.request = swallow
         call = sender.Call('127.0.0.1:9', 'GET', '/', {}, b'', seconds=1)
         task = asyncio.create_task(http.send(call, on_fresh=False))
         await began.wait()
