--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -168,19 +168,13 @@
     def lead(self) -> None:
         """Tells all others that this instance coordinates."""
         if self.candidacy.holds:
-            mark = self.operators.mark()
-            message: messages.Lead = {
-                'kind': 'lead',
-                'sender': self.place.instance,
-                'term': self.candidacy.term,
-                'claim': self.candidacy.state.newest,
-                'tables_version': self.steward.tables.version,
-                'tables_change': self.steward.tables.change,
-                'operator_offset': mark.newest,
-                'operator_total': mark.total,
-                'operator_age_ms': self.operators.age_ms(),
-            }
-            self.fleet.send_all(message)
+            self.fleet.send_all(self._sign_of_life())
+
+    def tell_end(self) -> None:
+        """Tells all others that this instance coordinates no more."""
+        message = self._sign_of_life()
+        message['is_over'] = True
+        self.fleet.send_all(message)
 
     def greet(self, name: str) -> None:
         """Tells a new instance what is known here, if this one coordinates."""
@@ -193,6 +187,20 @@
                 self.fleet.send(name, whole)
         self.fleet.send(name, self.steward.message())
 
+    def _sign_of_life(self) -> messages.Lead:
+        mark = self.operators.mark()
+        return {
+            'kind': 'lead',
+            'sender': self.place.instance,
+            'term': self.candidacy.term,
+            'claim': self.candidacy.state.newest,
+            'tables_version': self.steward.tables.version,
+            'tables_change': self.steward.tables.change,
+            'operator_offset': mark.newest,
+            'operator_total': mark.total,
+            'operator_age_ms': self.operators.age_ms(),
+        }
+
     def _wire_requests(self) -> None:
         self.pools = pools.Pools(self.fleet, self.candidacy, self.organisations)
         self.desks = desks.Desks(
@@ -200,6 +208,7 @@
         )
         self.candidacy.on_start.append(self.pools.begin)
         self.candidacy.on_start.append(self.lead)
+        self.candidacy.on_end.append(self.tell_end)
         self.ledger = permits.Ledger(self.targets_of, self.cold_spacing)
         self.dispatching = dispatching.Dispatching(self.fleet, self.ledger)
         self.sends = sends.Sends(
--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -36,6 +36,8 @@
 def handle_lead(parts: 'entry.Parts', message: fleet.Lead) -> None:
     """Takes in the coordinator's sign of life."""
     parts.candidacy.hear(message)
+    if message.get('is_over'):
+        return
     parts.steward.hear_lead(message)
     parts.operators.hear_lead(message)
 
--- a/src/bilberryglade/_membership/candidacy.py
+++ b/src/bilberryglade/_membership/candidacy.py
@@ -57,6 +57,8 @@
         self.told_claim = leadership.Told(-1, 0)
         #: Called when this instance becomes the coordinator.
         self.on_start: list[abc.Callable[[], None]] = []
+        #: Called when its lease has ended.
+        self.on_end: list[abc.Callable[[], None]] = []
 
     @property
     def holds(self) -> bool:
@@ -80,9 +82,12 @@
         return clock.now() - self.led_at < SILENCE_SECONDS
 
     def hear(self, lead: messages.Lead) -> None:
-        """Takes in the coordinator's sign of life."""
+        """Takes in the coordinator's sign of life, or that it was the last."""
         if lead['term'] < self.term:
             return
+        if lead.get('is_over'):
+            self.leave(lead['sender'])
+            return
         if lead['term'] > self.term:
             loguru.logger.info(
                 'coordinator known: {} term {}', lead['sender'], lead['term']
@@ -235,6 +240,8 @@
         self.state = leadership.lost(self.state)
         self.coordinator = ''
         loguru.logger.info('coordinator no more: {}', why)
+        for listener in self.on_end:
+            listener()
 
 
 def _seen(batch: stored.Batch, now: float) -> leadership.Seen | None:
--- a/src/bilberryglade/_membership/tests/test_candidacy.py
+++ b/src/bilberryglade/_membership/tests/test_candidacy.py
@@ -66,6 +66,31 @@
         self.assertFalse(self.lease.is_led)
         self.assertFalse(self.lease.is_heard)
 
+    async def test_a_coordinator_whose_lease_has_ended(self) -> None:
+        """Its last word is no sign of life: others look at once."""
+        over = lead('a', 3)
+        over['is_over'] = True
+        self.lease.hear(over)
+        self.assertFalse(self.lease.is_led)
+        self.assertFalse(self.lease.is_heard)
+
+    async def test_end_of_a_coordinator_that_nobody_follows_any_more(
+        self,
+    ) -> None:
+        """It says nothing of the one that coordinates now."""
+        self.lease.hear(lead('c', 5))
+        over = lead('a', 3)
+        over['is_over'] = True
+        self.lease.hear(over)
+        self.assertTrue(self.lease.is_led)
+
+    async def test_end_of_a_lease_is_told(self) -> None:
+        """All others hear of it from the one that has lost it."""
+        ends: list[str] = []
+        self.lease.on_end.append(lambda: ends.append('over'))
+        self.lease._lose('lease ended')  # noqa: WPS437
+        self.assertEqual(ends, ['over'])
+
     async def test_older_terms_are_left_out(self) -> None:
         """A coordinator of an earlier term is not believed again."""
         self.lease.hear(lead('c', 5))
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -35,6 +35,7 @@
     operator_offset: int
     operator_total: int
     operator_age_ms: int
+    is_over: NotRequired[bool]
 
 
 class Report(TypedDict):
