An answer whose head or chunk has no end is given up at once

Targets may send bytes that are no answer until the caller closes. Header lines without end were taken in until the deadline (45 MB in one second, of 200 to 300 MB that an instance has), and one chunk of any size was kept whole. A head of more than 64 KiB and a chunk of more than 16 MiB end the exchange now, as an answer that was lost. EndlessTests has ten places where the bytes may have no end; 'headers' (not ended after 3 s) and 'one chunk' (40 MB taken in) failed before.

--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -16,6 +16,10 @@
 IDLE_MS: typing.Final = 2000
 #: Sent bytes that are not acknowledged for so long end a connection.
 SILENT_MS: typing.Final = 3000
+#: Longest head of an answer, and longest chunk of a body, in bytes: what is
+#: longer is held in memory until it ends, and may have no end.
+MOST_HEAD_BYTES: typing.Final = 65_536
+MOST_CHUNK_BYTES: typing.Final = 16_777_216
 #: Value of SO_LINGER: on, for 0 seconds.
 RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
 #: Headers that tell where a body ends.
@@ -58,6 +62,8 @@
         """Starts without a connection."""
         super().__init__(pool)
         self.reads_headers = False
+        #: Bytes of the head that is being read.
+        self.head_size = 0
         #: Framing headers of the answer that is being read.
         self.framing: set[bytes] = set()
 
@@ -81,6 +87,7 @@
     async def readuntil(self, separator: bytes = b'\n') -> bytes:
         """Reads the status line; header lines follow."""
         self.reads_headers = True
+        self.head_size = 0
         self.framing = set()
         return bytes(await super().readuntil(separator))
 
@@ -91,6 +98,9 @@
             raise exceptions.ConnectionDisconnected
         if not self.reads_headers:
             return line
+        self.head_size += len(line)
+        if self.head_size > MOST_HEAD_BYTES:
+            raise exceptions.HttpParsingError('head without end')
         if b':' not in line:
             self.reads_headers = False
             if line.strip():
@@ -99,6 +109,12 @@
             self.framing.add(b''.join(line.lower().split()))
         return line
 
+    async def readexactly(self, size: int) -> bytes:
+        """Reads a piece of a body, unless it is too long to be kept."""
+        if size > MOST_CHUNK_BYTES:
+            raise exceptions.HttpParsingError('chunk too long')
+        return bytes(await super().readexactly(size))
+
     def release(self) -> None:
         """Closes the connection unless a framed answer was read whole.
 
--- a/src/bilberryglade/_targets/tests/test_sender.py
+++ b/src/bilberryglade/_targets/tests/test_sender.py
@@ -1,11 +1,18 @@
 """Connections to targets end with what was sent over them."""
 
 import asyncio
+import contextlib
+import typing
 import unittest
 
 from bilberryglade._targets import sender
 from bilberryglade._values import outcomes
 
+#: Bytes that a target may send before it is given up; buffers of sockets are
+#: the larger part.
+MOST_SENT: typing.Final = 20_000_000
+LONG_BODY: typing.Final = b'content-length: 99999999999\r\n\r\n'
+
 
 class ResetTests(unittest.IsolatedAsyncioTestCase):
     """What becomes of a call that is given up."""
@@ -64,3 +71,72 @@
         task.cancel()
         with self.assertRaises(asyncio.CancelledError):
             await task
+
+
+class EndlessTests(unittest.IsolatedAsyncioTestCase):
+    """Targets that send bytes without end, until the caller closes."""
+
+    async def asyncSetUp(self) -> None:
+        """The target sends `first` and then `more` again and again."""
+        self.first = b''
+        self.more = b''
+        self.sent = 0
+        self.ended = asyncio.Event()
+        self.server = await asyncio.start_server(self.flood, '127.0.0.1', 0)
+        self.addCleanup(self.server.close)
+
+    async def flood(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Sends until the connection is closed at the other side."""
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(self.first)
+        with contextlib.suppress(ConnectionError):
+            while self.sent < MOST_SENT * 2:
+                writer.write(self.more)
+                self.sent += len(self.more)
+                await writer.drain()
+        self.ended.set()
+        writer.close()
+
+    async def test_given_up_long_before_the_deadline(self) -> None:
+        """Little is taken in, whatever part of an answer has no end."""
+        okay = b'HTTP/1.1 200 OK\r\n'
+        chunked = b''.join((okay, b'transfer-encoding: chunked\r\n\r\n'))
+        line = b'x-a: bbbbbbbbbbbbbbbbbbbbbbbb\r\n' * 1000
+        block = b'x' * 65_536
+        cases = {
+            'no answer': (b'', block),
+            'status line': (b'HTTP/1.1 200 ', block),
+            'header': (b''.join((okay, b'x-a: ')), block),
+            'headers': (okay, line),
+            'interim answers': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 1000),
+            'body to the close': (b''.join((okay, b'\r\n')), block),
+            'long body': (b''.join((okay, LONG_BODY)), block),
+            'chunks': (chunked, b''.join((b'10000\r\n', block, b'\r\n'))),
+            'one chunk': (b''.join((chunked, b'fffffffff\r\n')), block),
+            'size of a chunk': (chunked, b'0' * 65_536),
+        }
+        for name, (first, more) in cases.items():
+            with self.subTest(name=name):
+                self.first = first
+                self.more = more
+                self.sent = 0
+                self.ended.clear()
+                outcome = await self.call()
+                self.assertIsInstance(outcome, outcomes.Unknown)
+                async with asyncio.timeout(2):
+                    await self.ended.wait()
+                self.assertLess(self.sent, MOST_SENT)
+
+    async def call(self) -> outcomes.Outcome:
+        """Returns what came of a call, which has a long time."""
+        port = self.server.sockets[0].getsockname()[1]
+        http = sender.Sender(2, 1_000_000)
+        call = sender.Call(f'127.0.0.1:{port}', 'GET', '/', {}, b'', seconds=9)
+        async with asyncio.timeout(3):
+            outcome = await http.send(call, on_fresh=False)
+        await http.close()
+        return outcome
