A reading that is older than what is known confirms nothing

Found on the last reading of the change: a whole reading that was left out as stale still counted as a confirmation of the operators' records.

--- a/src/bilberryglade/_knowledge/operators.py
+++ b/src/bilberryglade/_knowledge/operators.py
@@ -56,7 +56,7 @@
             began = clock.now()
             batch = await self._read()
             self.reader.note(TOPIC, batch)
-            if isinstance(batch, result.Err):
+            if isinstance(batch, result.Err) or self._is_stale(batch.ok_value):
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             # A long poll says what holds at its end; what it began with is
@@ -102,8 +102,9 @@
 
     def age_ms(self) -> int:
         """Returns the age of the last confirmation in milliseconds."""
-        age = clock.now() - self.confirmed_at
-        return min(int(min(age, UNKNOWN_AGE_MS) * 1000) + 1, UNKNOWN_AGE_MS)
+        if math.isinf(self.confirmed_at):
+            return UNKNOWN_AGE_MS
+        return int((clock.now() - self.confirmed_at) * 1000) + 1
 
     async def _read(self) -> result.Result[stored.Batch, stored.Failure]:
         """Waits for news; reads everything if nothing was confirmed lately."""
@@ -122,5 +123,9 @@
             poll.cancel()
         return await self.reader.client.newest(TOPIC)
 
+    def _is_stale(self, batch: stored.Batch) -> bool:
+        """Tells whether a reading is older than what is known."""
+        return batch.end < self.reader.known.ends.get(TOPIC, 0)
+
     def _is_confirmed(self) -> bool:
         return clock.now() - self.confirmed_at <= CONFIRMED_SECONDS
--- a/src/bilberryglade/_knowledge/tests/test_operators.py
+++ b/src/bilberryglade/_knowledge/tests/test_operators.py
@@ -143,6 +143,17 @@
         await self.follow(IN_FORCE_SECONDS)
         self.assertEqual(self.version(), 11)
 
+    async def test_reading_that_is_older_than_what_is_known(self) -> None:
+        """It confirms nothing, and takes nothing back."""
+        self.client.newest.return_value = batch(
+            configuration(7, 12), is_whole=True
+        )
+        before = self.operators.confirmed_at
+        await self.follow(IN_FORCE_SECONDS)
+        self.client.newest.assert_awaited()
+        self.assertEqual(self.operators.confirmed_at, before)
+        self.assertEqual(self.version(), 9)
+
     async def test_confirmed_by_the_coordinator(self) -> None:
         """While it knows the same, no call is made."""
         await self.follow(IN_FORCE_SECONDS, lead_offset=20)
