--- a/src/bilberryglade/_peers/tests/test_network.py
+++ b/src/bilberryglade/_peers/tests/test_network.py
@@ -13,19 +13,24 @@
 CONTACT_MS = 3000
 
 
+def network_for(case: unittest.TestCase) -> network.PeerNetwork:
+    """Returns the sockets of an instance that reaches nobody."""
+    public, secret = zmq.curve_keypair()
+    peers = network.PeerNetwork(
+        '127.0.0.1:1',
+        {'public_key': public.decode(), 'secret_key': secret.decode()},
+        10,
+    )
+    case.addCleanup(peers.context.destroy, 0)
+    return peers
+
+
 class HealingTests(unittest.IsolatedAsyncioTestCase):
     """A peer that was out of reach for a while."""
 
     async def test_tries_follow_one_another_closely(self) -> None:
         """No wait or pause is as long as the system's own would become."""
-        public, secret = zmq.curve_keypair()
-        keys = {'public_key': public.decode(), 'secret_key': secret.decode()}
-        peers = network.PeerNetwork(
-            '127.0.0.1:1',
-            keys,  # type: ignore[arg-type]
-            10,
-        )
-        self.addCleanup(peers.context.destroy, 0)
+        peers = network_for(self)
         peers.send('127.0.0.1:9', {'kind': 'x'})
         sender = peers.senders['127.0.0.1:9']
         wait = int(sender.connect_timeout)
@@ -38,14 +43,7 @@
 
     async def test_given_up_before_the_peer_counts_as_in_reach(self) -> None:
         """Heartbeats of one side find it, and both sides drop it."""
-        public, secret = zmq.curve_keypair()
-        keys = {'public_key': public.decode(), 'secret_key': secret.decode()}
-        peers = network.PeerNetwork(
-            '127.0.0.1:1',
-            keys,  # type: ignore[arg-type]
-            10,
-        )
-        self.addCleanup(peers.context.destroy, 0)
+        peers = network_for(self)
         peers.send('127.0.0.1:9', {'kind': 'x'})
         sender = peers.senders['127.0.0.1:9']
         found_ms = int(sender.heartbeat_ivl) + int(sender.heartbeat_timeout)
@@ -59,14 +57,7 @@
 
     async def test_by_kind(self) -> None:
         """A message to many is counted for each of them."""
-        public, secret = zmq.curve_keypair()
-        keys = {'public_key': public.decode(), 'secret_key': secret.decode()}
-        peers = network.PeerNetwork(
-            '127.0.0.1:1',
-            keys,  # type: ignore[arg-type]
-            10,
-        )
-        self.addCleanup(peers.context.destroy, 0)
+        peers = network_for(self)
         peers.send_all(('127.0.0.1:9', '127.0.0.1:8'), {'kind': 'x'})
         peers.send('127.0.0.1:9', {'kind': 'y'})
         size = len(codec.encode_packed({'kind': 'x'}))
