Exploration of leases on keys: the real coordinator on a virtual clock

This one runs Candidacy, Reader, Steward, Lessor, Orders and the store's client of two or three instances over a store and targets modelled after the protocol, and watches the rule from the targets.

--- /dev/null
+++ b/src/bilberryglade/_ownership/tests/lease_links.py
@@ -0,0 +1,286 @@
+"""Calls and messages of one instance in the world of leases."""
+
+import asyncio
+import json
+import typing
+from collections import abc
+from urllib import parse as urls
+
+from bilberryglade._ownership.tests import modelled_targets
+from bilberryglade._targets import sender
+from bilberryglade._values import outcomes
+from bilberryglade_stand_ins import store_model
+
+if typing.TYPE_CHECKING:
+    from bilberryglade._ownership.tests import lease_instance, lease_world
+
+#: Seconds for a connection, after which nothing was sent.
+CONNECT_SECONDS: typing.Final = 0.3
+#: Part of calls that go over a connection that is kept.
+KEPT_PART: typing.Final = 0.7
+#: Seconds between two looks whether a cut has healed.
+HELD_UP_SECONDS: typing.Final = 0.02
+UNAVAILABLE_STATUS: typing.Final = 503
+
+
+class PeerLink:
+    """Messages to other instances."""
+
+    def __init__(self, world: 'lease_world.World', name: str) -> None:
+        """Sends for the instance called `name`."""
+        self.world = world
+        self.name = name
+
+    def send(self, address: str, message: abc.Mapping[str, object]) -> bool:
+        """Sends to the instance at `address`, which is its name here."""
+        world = self.world
+        world.later(world.network.transit(), self._deliver, address, message)
+        return True
+
+    def send_all(
+        self,
+        addresses: abc.Iterable[str],
+        message: abc.Mapping[str, object],
+    ) -> None:
+        """Sends to many."""
+        for address in addresses:
+            self.send(address, message)
+
+    def forget(self, _: abc.Container[str]) -> None:
+        """Keeps no connections."""
+
+    def _deliver(
+        self,
+        address: str,
+        message: abc.Mapping[str, object],
+    ) -> None:
+        receiver = self.world.instances.get(address)
+        if receiver is None or self.world.network.is_cut(self.name, address):
+            return
+        self.world.loop.call_soon(
+            receiver.receive, message, context=receiver.process.context
+        )
+
+
+class StoreLink:
+    """Calls of one instance to the store."""
+
+    def __init__(self, world: 'lease_world.World', name: str) -> None:
+        """Calls for the instance called `name`."""
+        self.world = world
+        self.name = name
+
+    async def send(
+        self,
+        call: sender.Call,
+        *,
+        on_fresh: bool,
+    ) -> outcomes.Outcome:
+        """Carries a call out; see `sender.Sender.send`."""
+        world = self.world
+        troubles = world.store_troubles
+        if self.name in troubles.refused:
+            await asyncio.sleep(world.network.transit())
+            return outcomes.Answered(UNAVAILABLE_STATUS, (), b'')
+        answer: asyncio.Future[outcomes.Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+        delay = world.network.transit()
+        if troubles.delay:
+            delay += world.chance.uniform(0, troubles.delay)
+        is_lost = (
+            call.method == 'POST' and world.chance.random() < troubles.lost_part
+        )
+        if is_lost and troubles.late:
+            delay += world.chance.uniform(1, troubles.late)
+        world.later(delay, self._carry_out, call, answer, is_lost)
+        try:
+            async with asyncio.timeout(call.seconds):
+                return await answer
+        except TimeoutError:
+            return outcomes.Unknown(outcomes.Reason.deadline)
+
+    def _carry_out(
+        self,
+        call: sender.Call,
+        answer: 'asyncio.Future[outcomes.Outcome]',
+        is_lost: bool,
+    ) -> None:
+        world = self.world
+        is_cut = world.network.is_cut(self.name, 'store')
+        if is_cut or world.store_troubles.is_away:
+            return
+        outcome = self._answer(call)
+        if not is_lost:
+            world.later(world.network.transit(), _give, answer, outcome)
+
+    def _answer(self, call: sender.Call) -> outcomes.Outcome:
+        path, _, text = call.path.partition('?')
+        query = dict(urls.parse_qsl(text))
+        partition = self.world.model.partition(query)
+        name = path.rpartition('/')[2]
+        if name == 'log-append':
+            status, told = partition.append(query, call.body)
+            return _json(status, told)
+        if name == 'log-newest':
+            return _json(store_model.OK, partition.newest(''))
+        raw = partition.read(int(query['from']))
+        return outcomes.Answered(store_model.OK, (), raw or b'')
+
+
+class TargetLink:
+    """Orders of one instance to targets."""
+
+    def __init__(self, world: 'lease_world.World', name: str) -> None:
+        """Orders for the instance called `name`."""
+        self.world = world
+        self.name = name
+
+    async def send(
+        self,
+        call: sender.Call,
+        *,
+        on_fresh: bool,
+    ) -> outcomes.Outcome:
+        """Carries an order out; see `sender.Sender.send`."""
+        world = self.world
+        chance = world.chance
+        is_kept = not on_fresh and chance.random() < KEPT_PART
+        target = self._at(call.address)
+        if not is_kept:
+            await asyncio.sleep(world.network.transit())
+            if target is None:
+                return outcomes.NotRun(outcomes.Reason.target_unreachable)
+            if world.network.is_cut(self.name, target.name):
+                await asyncio.sleep(CONNECT_SECONDS)
+                return outcomes.NotRun(outcomes.Reason.target_unreachable)
+        answer: asyncio.Future[outcomes.Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+        instance = world.instances.get(self.name)
+        delay = world.network.transit()
+        delay += chance.uniform(0, world.network.order_delay)
+        if instance is not None:
+            world.later(delay, self._arrive, call, answer, instance, target)
+        try:
+            async with asyncio.timeout(call.seconds):
+                return await answer
+        except TimeoutError:
+            return outcomes.Unknown(outcomes.Reason.deadline)
+        finally:
+            answer.cancel()
+
+    def _at(self, address: str) -> modelled_targets.Target | None:
+        return next(
+            (
+                target
+                for target in self.world.targets
+                if target.address == address and target.is_up
+            ),
+            None,
+        )
+
+    def _arrive(
+        self,
+        call: sender.Call,
+        answer: 'asyncio.Future[outcomes.Outcome]',
+        instance: 'lease_instance.Instance',
+        meant: modelled_targets.Target | None,
+    ) -> None:
+        """Lets an order arrive, unless its sender has reset it meanwhile."""
+        world = self.world
+        target = self._at(call.address)
+        if answer.done() or instance.process.is_dead:
+            return
+        if target is None or meant is not target:
+            refused = outcomes.Unknown(outcomes.Reason.answer_lost)
+            world.later(world.network.transit(), _give, answer, refused)
+            return
+        if world.network.is_cut(self.name, target.name):
+            # Bytes that a cut holds up arrive when it heals.
+            world.later(
+                HELD_UP_SECONDS, self._arrive, call, answer, instance, meant
+            )
+            return
+        lost = world.chance.random() < world.order_troubles.lost_part
+        late = world.order_troubles.late
+        if lost and late is not None:
+            world.later(
+                world.chance.uniform(*late),
+                self._carry_out,
+                (call, target, target.born, world.now()),
+                answer,
+            )
+            return
+        self._carry_out(
+            (call, target, target.born, world.now()),
+            None if lost else answer,
+        )
+
+    def _carry_out(
+        self,
+        arrived: tuple[sender.Call, modelled_targets.Target, int, float],
+        answer: 'asyncio.Future[outcomes.Outcome] | None',
+    ) -> None:
+        call, target, born, arrived_at = arrived
+        world = self.world
+        if not target.is_up or target.born != born:
+            return
+        if call.headers['x-target-instance'] != target.name:
+            outcome = modelled_targets.answered(
+                modelled_targets.MISDIRECTED_STATUS
+            )
+            world.later(world.network.transit(), _give, answer, outcome)
+            return
+        seconds: float = 0
+        status = modelled_targets.OK_STATUS
+        word = ''
+        if call.path.endswith('grant'):
+            status = self._grant(target, call, arrived_at)
+        elif call.path.endswith('release'):
+            word = 'word'
+            seconds = self._release(target, call)
+        world.giver = self.name
+        outcome = modelled_targets.answered(status, word)
+        world.later(seconds + world.network.transit(), _give, answer, outcome)
+
+    def _grant(
+        self,
+        target: modelled_targets.Target,
+        call: sender.Call,
+        arrived_at: float,
+    ) -> int:
+        world = self.world
+        order = modelled_targets.understood(call)
+        now = world.now()
+        excused = world.is_excused(self.name, target.name)
+        status = target.grant(arrived_at, order, counts=not excused)
+        if status == modelled_targets.OK_STATUS and not excused:
+            modelled_targets.look(
+                world.rules, world.targets, target, order, now
+            )
+        return status
+
+    def _release(
+        self,
+        target: modelled_targets.Target,
+        call: sender.Call,
+    ) -> float:
+        world = self.world
+        order = modelled_targets.understood(call)
+        longest = world.chance.choice((0, modelled_targets.LONGEST_WORK))
+        work = world.chance.uniform(0, longest)
+        now = world.now()
+        return target.release(now, order, work) - now
+
+
+def _give(
+    answer: 'asyncio.Future[outcomes.Outcome] | None',
+    outcome: outcomes.Outcome,
+) -> None:
+    if answer is not None and not answer.done():
+        answer.set_result(outcome)
+
+
+def _json(status: int, told: dict[str, typing.Any]) -> outcomes.Answered:
+    return outcomes.Answered(status, (), json.dumps(told).encode())
