Lines and counts of orders: who was granted keys, and who gave them back

First grants and releases have a line each now, renewals only count (bilberryglade_orders_total by order and outcome).

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -239,6 +239,7 @@
         self.router.count_key = self.reporter.count
         self.exchanges = exchange_counts.Exchanges(self.reader, self.steward)
         self.exchanges.watch_peers(self.peers)
+        self.exchanges.watch_orders(self.steward.lessor.log)
         self.front = front.Front(
             self.router, self.exchanges.take, self.caller_bounds
         )
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -9,7 +9,7 @@
 
 from bilberryglade._delivery import router
 from bilberryglade._knowledge import reading, topics
-from bilberryglade._ownership import steward
+from bilberryglade._ownership import order_log, steward
 from bilberryglade._peers import network
 from bilberryglade._routing import admission
 from bilberryglade._values import clock, outcomes
@@ -55,6 +55,25 @@
         return iter((messages, sizes))
 
 
+class OrderCounts(registry.Collector):
+    """Orders to targets by kind and by what became of them."""
+
+    def __init__(self, log: order_log.OrderLog) -> None:
+        """Reads the counts of `log`."""
+        self.log = log
+
+    def collect(self) -> abc.Iterator[metrics_core.Metric]:
+        """Returns the counts now."""
+        counted = metrics_core.CounterMetricFamily(
+            'bilberryglade_orders',
+            'Orders to targets by what became of them.',
+            labels=('order', 'outcome'),
+        )
+        for labels, count in self.log.counts.items():
+            counted.add_metric(labels, count)
+        return iter((counted,))
+
+
 class Exchanges:
     """Counts exchanges with callers and writes a line for each."""
 
@@ -125,6 +144,10 @@
         """Counts what is sent to other instances from now on."""
         self.registry.register(PeerCounts(peers))
 
+    def watch_orders(self, log: order_log.OrderLog) -> None:
+        """Counts orders to targets from now on."""
+        self.registry.register(OrderCounts(log))
+
     def scrape(self) -> bytes:
         """Returns all counters as text."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -9,13 +9,13 @@
 import typing
 from collections import abc
 
-import loguru
 import result
 
 from bilberryglade._knowledge import reading
 from bilberryglade._membership import candidacy
 from bilberryglade._ownership import (
     holds as leased,
+    order_log,
     owners,
     ranges,
     reachability,
@@ -73,6 +73,7 @@
         self.holds: dict[str, tuple[leased.Hold, ...]] = {}
         self.grants: dict[Slot, Grant] = {}
         self.busy: dict[Slot, asyncio.Task[None]] = {}
+        self.log = order_log.OrderLog()
         self.grant_places = asyncio.Semaphore(MOST_GRANTS)
         self.release_places = asyncio.Semaphore(MOST_RELEASES)
         self.renewal_seconds = RENEWAL_SECONDS
@@ -272,8 +273,9 @@
                 RELEASE_SECONDS,
             )
         if isinstance(answer, result.Err):
-            _note('release', entry, hold.owner, answer.err_value)
+            self.log.failed('release', entry, hold.owner, answer.err_value)
             return
+        self.log.release(entry, hold.owner, lease)
         known = self.holds.get(service, ())
         current = leased.current(known, hold)
         if current is not None:
@@ -316,6 +318,7 @@
             self.holds[service], entry, leased.doubt(before, entry)
         )
         is_first = not self.grants.get((service, entry), Grant()).until
+        self.log.grant(entry, is_first=is_first)
         self.grants[service, entry] = Grant(
             sent_at + seconds, sent_at + self.renewal_seconds
         )
@@ -337,7 +340,7 @@
             self.holds[service] = leased.withdrawn(
                 self.holds[service], before, entry
             )
-        _note('grant', entry, entry.owner, failure)
+        self.log.failed('grant', entry, entry.owner, failure)
 
 
 def lease_seconds(silence: float, longest: float) -> float:
@@ -372,19 +375,3 @@
         until,
         is_life_sure=False,
     )
-
-
-def _note(
-    order: str,
-    entry: ranges.Range,
-    owner: ranges.Owner,
-    failure: leases.Failure,
-) -> None:
-    loguru.logger.info(
-        '{} of {}-{} at {} not confirmed: {}',
-        order,
-        entry.first,
-        entry.last,
-        owner.target,
-        failure,
-    )
