A new start of a target ends no lease that its later life may have taken

Cause: a target that starts again under its name between two renewals takes the next one in its later life. When its new entry was read, the lease counted as ended, since an order had not failed; its keys went to another target at once, and the later life held them for up to 2.8 s more. It needs a target that may own no more keys just then: one that drains, or whose failure domain is taken out. Change: the class of fault is a word on one life that ends what another may have. A lease ends by a release or by its time alone. The later life is asked for the release, at the address that it is listed with, and answers within a round trip; so nothing waits longer where it lives. Whether an order had failed is not kept any more.

--- a/src/bilberryglade/_ownership/holds.py
+++ b/src/bilberryglade/_ownership/holds.py
@@ -1,12 +1,11 @@
 """What is known of the leases that targets may hold, and when a key is free.
 
-A lease that a target may hold ends when the target confirms its release, when
-its whole time has passed since the last order that may still arrive, or when
-the target has started again.
+A lease that a target may hold ends when the target confirms its release, or when
+its whole time has passed since the last order that may still arrive. That the
+target has started again ends nothing: its later life may have taken the order.
 """
 
 import typing
-from collections import abc
 
 from bilberryglade._ownership import ranges
 
@@ -31,9 +30,6 @@
     is_released: bool = False
     #: What the target said at its release.
     handover: str = ''
-    #: Whether no later life of the target can have taken an order; then a new
-    #: start of it ends the lease.
-    is_life_sure: bool = True
 
 
 def lease_end(sent_at: float, seconds: float) -> float:
@@ -45,13 +41,8 @@
     holds: tuple[Hold, ...],
     entry: ranges.Range,
     until: float,
-    *,
-    is_life_sure: bool = True,
 ) -> tuple[Hold, ...]:
-    """Takes in that a lease is being ordered, before the order is sent.
-
-    `is_life_sure` tells whether it can reach the owner's own life alone.
-    """
+    """Takes in that a lease is being ordered, before the order is sent."""
     kept: list[Hold] = []
     found = False
     for hold in holds:
@@ -61,7 +52,6 @@
                 until=max(hold.until, until),
                 unanswered_until=max(hold.unanswered_until, until),
                 is_released=False,
-                is_life_sure=hold.is_life_sure and is_life_sure,
             )
         kept.append(hold)
     if not found:
@@ -73,7 +63,6 @@
                 entry.fence,
                 until,
                 unanswered_until=until,
-                is_life_sure=is_life_sure,
             ),
         )
     return tuple(kept)
@@ -128,13 +117,11 @@
 def in_the_way(
     holds: tuple[Hold, ...],
     entry: ranges.Range,
-    lives: abc.Mapping[str, int],
     now: float,
 ) -> tuple[Hold, ...]:
     """Returns the holds of others that keep a range from its new owner.
 
-    `lives` has the moment of the newest start of each listed target: an
-    earlier life of it holds nothing.
+    An earlier life of the new owner keeps nothing from it.
     """
     return tuple(
         hold
@@ -142,18 +129,10 @@
         if hold.owner.target != entry.owner.target
         and hold.first <= entry.last
         and hold.last >= entry.first
-        and is_held(hold, lives, now)
+        and now < end_of(hold)
     )
 
 
-def is_held(hold: Hold, lives: abc.Mapping[str, int], now: float) -> bool:
-    """Tells whether the target may hold the keys at `now`."""
-    born = lives.get(hold.owner.target, hold.owner.born)
-    if born > hold.owner.born and hold.is_life_sure:
-        return False
-    return now < end_of(hold)
-
-
 def end_of(hold: Hold) -> float:
     """Returns when the target holds the keys no more, in seconds."""
     return hold.unanswered_until if hold.is_released else hold.until
@@ -161,11 +140,10 @@
 
 def without_ended(
     holds: tuple[Hold, ...],
-    lives: abc.Mapping[str, int],
     now: float,
 ) -> tuple[Hold, ...]:
     """Drops what no target can hold any more."""
-    return tuple(hold for hold in holds if is_held(hold, lives, now))
+    return tuple(hold for hold in holds if now < end_of(hold))
 
 
 def doubt(holds: tuple[Hold, ...], entry: ranges.Range) -> float:
--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -109,11 +109,6 @@
         self.reach.forget()
         self.grants.clear()
 
-    def lives(self) -> dict[str, int]:
-        """Returns the moment of the newest start of each listed target."""
-        targets = self.reader.known.directory.targets
-        return {target.name: target.born for target in targets.values()}
-
     def target_of(self, owner: ranges.Owner) -> directory.Target | None:
         """Returns the listed target of a life; None if there is none."""
         listed = self.reader.known.directory
@@ -125,9 +120,8 @@
     def forget_ended(self) -> None:
         """Drops leases that no target can hold any more."""
         now = clock.now()
-        lives = self.lives()
         self.holds = {
-            service: leased.without_ended(known, lives, now)
+            service: leased.without_ended(known, now)
             for service, known in self.holds.items()
         }
         holders = {
@@ -170,7 +164,7 @@
     ) -> tuple[leased.Hold, ...]:
         """Returns the leases that keep a range from its owner."""
         return leased.in_the_way(
-            self.holds.get(service, ()), entry, self.lives(), clock.now()
+            self.holds.get(service, ()), entry, clock.now()
         )
 
     def former(
@@ -255,10 +249,7 @@
         hold: leased.Hold,
         entry: ranges.Range,
     ) -> None:
-        target = self.target_of(hold.owner)
-        address = self.addresses.get(hold.owner)
-        if target is not None:
-            address = target.address
+        address = self._address_of(hold.owner)
         if hold.is_released or not address:
             return
         lease = leases.Lease(
@@ -283,6 +274,17 @@
                 known, current, entry, answer.ok_value
             )
 
+    def _address_of(self, owner: ranges.Owner) -> str:
+        """Returns where the keys of a life of a target can be taken back.
+
+        A later life may have taken them; it answers for those before it.
+        """
+        listed = self.reader.known.directory
+        target = listed.targets.get(owner.target)
+        if target is not None and target.born >= owner.born:
+            return target.address
+        return self.addresses.get(owner, '')
+
     async def _grant(
         self,
         service: str,
@@ -296,10 +298,7 @@
         before = self.holds.get(service, ())
         arrives_by = sent_at + orders.GRANT_SECONDS
         self.holds[service] = leased.ordered(
-            before,
-            entry,
-            leased.lease_end(arrives_by, seconds),
-            is_life_sure=not self.reach.was_failing(entry.owner),
+            before, entry, leased.lease_end(arrives_by, seconds)
         )
         lease = leases.Lease(
             entry.first,
@@ -366,12 +365,10 @@
 def _held(former: owners.Former, now: float) -> leased.Hold:
     entry = former.entry
     until = leased.lease_end(now, former.seconds)
-    # Whether orders of an earlier coordinator had failed is not known.
     return leased.Hold(
         entry.first,
         entry.last,
         entry.owner,
         entry.fence,
         until,
-        is_life_sure=False,
     )
--- a/src/bilberryglade/_ownership/reachability.py
+++ b/src/bilberryglade/_ownership/reachability.py
@@ -45,9 +45,6 @@
         self.orders = target_orders
         self.on_back = on_back
         self.failing: dict[ranges.Owner, Failing] = {}
-        #: Lives whose orders failed at some time: a later life may have taken
-        #: those that came after that.
-        self.failed: set[ranges.Owner] = set()
         self.probes: dict[ranges.Owner, asyncio.Task[None]] = {}
 
     def forget(self) -> None:
@@ -56,22 +53,16 @@
             task.cancel()
         self.probes.clear()
         self.failing.clear()
-        self.failed.clear()
 
     def note_failure(self, owner: ranges.Owner) -> None:
         """Takes in that an order was not confirmed."""
         now = clock.now()
         self.failing.setdefault(owner, Failing(now, now + LEAST_PROBE_SECONDS))
-        self.failed.add(owner)
 
     def is_failing(self, owner: ranges.Owner) -> bool:
         """Tells whether the last order failed: the target may be a new life."""
         return owner in self.failing
 
-    def was_failing(self, owner: ranges.Owner) -> bool:
-        """Tells whether an order to this life has failed at some time."""
-        return owner in self.failed
-
     def is_out(self, owner: ranges.Owner, now: float) -> bool:
         """Tells whether a target has been out of reach for long."""
         failing = self.failing.get(owner)
