A release ends only leases given before it

Cause: the answer to a release ended whatever lease its target then held on the same keys. Releases wait in a queue, and longer where a target is out of reach; meanwhile the tables change, and the same target may be given the keys again under a higher fence. The late answer, under the lower fence, ended that lease too, and a third target got the keys at once. Change: a release names its target, keys and fence, and ends what that target was given under lower fences on these keys, in whatever pieces they are by now; before it is sent, its range must still be wanted.

--- a/src/bilberryglade/_ownership/candidates.py
+++ b/src/bilberryglade/_ownership/candidates.py
@@ -5,7 +5,13 @@
 from collections import abc
 
 from bilberryglade._knowledge import reading
-from bilberryglade._ownership import key_loads, lessor, ranges, shares
+from bilberryglade._ownership import (
+    key_loads,
+    lessor,
+    order_addresses,
+    ranges,
+    shares,
+)
 from bilberryglade._targets import directory, standing
 
 #: How much longer than usual work at a cold target is counted.
@@ -71,7 +77,9 @@
         capacities = self._capacities(targets, now)
         weights = shares.divide(capacities, max(load, len(targets)))
         return [
-            ranges.Candidate(lessor.owner_of(target), weight, capacity.rate)
+            ranges.Candidate(
+                order_addresses.owner_of(target), weight, capacity.rate
+            )
             for target, weight, capacity in zip(
                 targets, weights, capacities, strict=True
             )
@@ -83,7 +91,7 @@
         owning: abc.Set[ranges.Owner],
         now: float,
     ) -> bool:
-        owner = lessor.owner_of(target)
+        owner = order_addresses.owner_of(target)
         if self.lessor.reach.is_out(owner, now):
             return False
         if owner in owning:
--- a/src/bilberryglade/_ownership/holds.py
+++ b/src/bilberryglade/_ownership/holds.py
@@ -6,8 +6,10 @@
 """
 
 import typing
+from collections import abc
 
 from bilberryglade._ownership import ranges
+from bilberryglade._values import leases
 
 #: A target's clock that measures a lease may run slow by this part.
 TARGET_DRIFT_PART: typing.Final = 0.02
@@ -95,22 +97,22 @@
 
 def released(
     holds: tuple[Hold, ...],
-    hold: Hold,
-    entry: ranges.Range,
+    target: str,
+    given: leases.Lease,
     handover: str,
 ) -> tuple[Hold, ...]:
-    """Takes in that a target gave back those keys of `hold` in `entry`."""
-    first = max(hold.first, entry.first)
-    last = min(hold.last, entry.last)
-    pieces = (
-        hold._replace(last=first - 1),
-        hold._replace(
-            first=first, last=last, is_released=True, handover=handover
-        ),
-        hold._replace(first=last + 1),
-    )
-    kept = [known for known in holds if known != hold]
-    kept.extend(piece for piece in pieces if piece.first <= piece.last)
+    """Takes in that a target gave back the keys in `given`.
+
+    Leases that it was given under the fence of the release or a higher one stay:
+    they came later, and an answer may be late.
+    """
+    kept: list[Hold] = []
+    for hold in holds:
+        is_meant = hold.owner.target == target and hold.fence < given.fence
+        if is_meant and not hold.is_released:
+            kept.extend(_cut(hold, given, handover))
+        else:
+            kept.append(hold)
     return tuple(kept)
 
 
@@ -160,15 +162,6 @@
     )
 
 
-def current(holds: tuple[Hold, ...], hold: Hold) -> Hold | None:
-    """Returns what became of `hold` while its release was on its way."""
-    for known in holds:
-        same_keys = (known.first, known.last) == (hold.first, hold.last)
-        if same_keys and known.owner == hold.owner and not known.is_released:
-            return known
-    return None
-
-
 def handover(holds: tuple[Hold, ...], entry: ranges.Range) -> str:
     """Returns the word of the one owner that released a whole range."""
     words = {
@@ -181,6 +174,27 @@
     return words.pop() if len(words) == 1 else ''
 
 
+def _cut(
+    hold: Hold,
+    given: leases.Lease,
+    handover: str,
+) -> abc.Iterator[Hold]:
+    """Yields the pieces of a hold, of which those keys are released."""
+    first = max(hold.first, given.first)
+    last = min(hold.last, given.last)
+    if first > last:
+        yield hold
+        return
+    pieces = (
+        hold._replace(last=first - 1),
+        hold._replace(
+            first=first, last=last, is_released=True, handover=handover
+        ),
+        hold._replace(first=last + 1),
+    )
+    yield from (piece for piece in pieces if piece.first <= piece.last)
+
+
 def _is_same(hold: Hold, entry: ranges.Range) -> bool:
     return (hold.first, hold.last, hold.owner, hold.fence) == (
         entry.first,
--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -15,6 +15,7 @@
 from bilberryglade._membership import candidacy
 from bilberryglade._ownership import (
     holds as leased,
+    order_addresses,
     order_log,
     owners,
     ranges,
@@ -79,8 +80,7 @@
         self.renewal_seconds = RENEWAL_SECONDS
         #: Ranges that need a new fence, since a target saw a higher one.
         self.fenced: set[Slot] = set()
-        #: Where each life of a target was reached last.
-        self.addresses: dict[ranges.Owner, str] = {}
+        self.addresses = order_addresses.OrderAddresses(reader)
         self.reach = reachability.Reachability(target_orders, self._refence)
         #: Called when a range was granted to its owner for the first time.
         self.on_first_grant: abc.Callable[[], None] = _nothing
@@ -92,7 +92,7 @@
     ) -> None:
         """Starts a term: each range of `held` may be leased to its owner."""
         now = clock.now()
-        self.addresses.update(addresses)
+        self.addresses.learn(addresses)
         self.holds = {
             service: tuple(_held(former, now) for former in found)
             for service, found in held.items()
@@ -127,11 +127,7 @@
         holders = {
             hold.owner for known in self.holds.values() for hold in known
         }
-        self.addresses = {
-            owner: address
-            for owner, address in self.addresses.items()
-            if owner in holders
-        }
+        self.addresses.keep_only(holders)
 
     def keep_only(self, slots: abc.Set[Slot]) -> None:
         """Forgets the progress of ranges that are not wanted any more."""
@@ -185,13 +181,6 @@
             for hold in sorted(held)
         ]
 
-    def known_addresses(self) -> dict[ranges.Owner, str]:
-        """Returns where each known life of a target takes orders."""
-        known = self.reader.known
-        listed = known.directory.targets.values()
-        newest = {owner_of(target): target.address for target in listed}
-        return {**self.addresses, **newest}
-
     def _start(self, slot: Slot) -> None:
         task = asyncio.create_task(self._serve(*slot))
         self.busy[slot] = task
@@ -226,6 +215,10 @@
             if target is not None:
                 await self._grant(service, entry, target)
 
+    def _is_wanted(self, service: str, entry: ranges.Range) -> bool:
+        """Tells whether this instance still gives a range to its owner."""
+        return self.lease.holds and (service, entry) in self.grants
+
     def _free_owner(
         self,
         service: str,
@@ -235,7 +228,7 @@
 
         Tables, leases and targets may have changed while the order waited.
         """
-        if not self.lease.holds or (service, entry) not in self.grants:
+        if not self._is_wanted(service, entry):
             return None
         if self.reach.is_failing(entry.owner):
             return None
@@ -249,7 +242,7 @@
         hold: leased.Hold,
         entry: ranges.Range,
     ) -> None:
-        address = self._address_of(hold.owner)
+        address = self.addresses.to_release(hold.owner)
         if hold.is_released or not address:
             return
         lease = leases.Lease(
@@ -258,6 +251,8 @@
             fence=ranges.release_fence(entry),
         )
         async with self.release_places:
+            if not self._is_wanted(service, entry):
+                return
             answer = await self.orders.release(
                 leases.Holder(hold.owner.target, address),
                 lease,
@@ -267,23 +262,12 @@
             self.log.failed('release', entry, hold.owner, answer.err_value)
             return
         self.log.release(entry, hold.owner, lease)
-        known = self.holds.get(service, ())
-        current = leased.current(known, hold)
-        if current is not None:
-            self.holds[service] = leased.released(
-                known, current, entry, answer.ok_value
-            )
-
-    def _address_of(self, owner: ranges.Owner) -> str:
-        """Returns where the keys of a life of a target can be taken back.
-
-        A later life may have taken them; it answers for those before it.
-        """
-        listed = self.reader.known.directory
-        target = listed.targets.get(owner.target)
-        if target is not None and target.born >= owner.born:
-            return target.address
-        return self.addresses.get(owner, '')
+        self.holds[service] = leased.released(
+            self.holds.get(service, ()),
+            hold.owner.target,
+            lease,
+            answer.ok_value,
+        )
 
     async def _grant(
         self,
@@ -291,7 +275,7 @@
         entry: ranges.Range,
         target: directory.Target,
     ) -> None:
-        self.addresses[entry.owner] = target.address
+        self.addresses.note(entry.owner, target.address)
         silence = clock.now() - self.lease.confirmed_at
         seconds = lease_seconds(silence, self.longest_lease)
         sent_at = clock.now()
@@ -353,11 +337,6 @@
     return min(max(needed, RENEWAL_SECONDS), LONGEST_RENEWAL_SECONDS)
 
 
-def owner_of(target: directory.Target) -> ranges.Owner:
-    """Returns the life of a target that may own keys."""
-    return ranges.Owner(target.name, target.born)
-
-
 def _nothing() -> None:
     """Stands for nobody who listens."""
 
--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -18,6 +18,7 @@
     candidates,
     key_loads,
     lessor,
+    order_addresses,
     owners,
     planning,
     ranges,
@@ -217,7 +218,7 @@
             targets = self.candidates.targets(
                 service, owners.owners_of(self.tables, service), now
             )
-            lives = frozenset(map(lessor.owner_of, targets))
+            lives = frozenset(map(order_addresses.owner_of, targets))
             if not looks and lives == self.planned.get(service):
                 wanted[service] = self._refenced(service)
                 continue
@@ -292,7 +293,7 @@
             )
             for service, table in wanted.items()
         }
-        addresses = self.lessor.known_addresses()
+        addresses = self.lessor.addresses.all()
         message = owners.to_message(
             owners.Tables(0, 0, services), self.members.own.name, addresses
         )
--- a/src/bilberryglade/_ownership/tests/test_lessor.py
+++ b/src/bilberryglade/_ownership/tests/test_lessor.py
@@ -144,6 +144,24 @@
         return answer
 
 
+class LateReleaseTests(GrantCase):
+    """Releases that wait for others while the tables change."""
+
+    async def test_no_release_for_tables_out_of_force(self) -> None:
+        """It would take back what a newer table gives to its target."""
+        heir = ranges.Range(0, leases.LAST_KEY, ranges.Owner('u', 10), 4)
+        tables = owners.Tables(2, 1, {'s': (owners.Owned(heir, True),)})
+        self.list_target(samples.target(name='u'))
+        self.lessor.keep_only(owners.slots(tables))
+        self.lessor.release_places = asyncio.Semaphore(0)
+        self.lessor.start_orders(tables)
+        await asyncio.sleep(0)
+        self.lessor.keep_only(frozenset())
+        self.lessor.release_places.release()
+        await asyncio.gather(*self.lessor.busy.values())
+        self.orders.release.assert_not_awaited()
+
+
 class ManyRangesTests(unittest.IsolatedAsyncioTestCase):
     """A table of many ranges, all to be granted at once."""
 
--- a/src/bilberryglade/_ownership/tests/test_steward.py
+++ b/src/bilberryglade/_ownership/tests/test_steward.py
@@ -109,7 +109,7 @@
         left = {hold.owner: hold.until for hold in leasing.holds['s']}
         self.assertLess(left[gone] - clock.now(), 4)
         self.assertGreater(left[gone] - clock.now(), 2.5)
-        self.assertEqual(leasing.addresses[gone], '10.9.9.9:80')
+        self.assertEqual(leasing.addresses.to_release(gone), '10.9.9.9:80')
         listed = ranges.Owner('t1', 10)
         self.assertGreater(left[listed] - clock.now(), 9)
 
