No order of ranges that a record on its way ends

Cause: the record of new tables names who may still hold what by the old ones, as of the moment at which it is made. Until its answer came (seconds with a slow store, or with repeats) tasks of the old tables went on: a range that had waited for its release was granted for the first time. No record knows of that. A coordinator that follows, after a loss or at once after a planned stop, gives the keys to their new owner while the unknown holder has them. Change: ranges that are not wanted any more lose their progress before the record is made, so that their tasks end before the next order; what is already on its way was noted before it was sent, and stands in the record.

--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -182,6 +182,9 @@
         ]
 
     def _start(self, slot: Slot) -> None:
+        self.grants[slot] = self.grants.get(slot, Grant())._replace(
+            due=clock.now() + RETRY_SECONDS
+        )
         task = asyncio.create_task(self._serve(*slot))
         self.busy[slot] = task
         task.add_done_callback(functools.partial(self._end, slot))
@@ -200,10 +203,8 @@
 
     async def _serve(self, service: str, entry: ranges.Range) -> None:
         """Clears a range of other holders, then grants or renews it."""
-        slot = (service, entry)
-        self.grants[slot] = self.grants.get(slot, Grant())._replace(
-            due=clock.now() + RETRY_SECONDS
-        )
+        if not self._is_wanted(service, entry):
+            return
         await asyncio.gather(
             *(
                 self._release(service, hold, entry)
--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -259,7 +259,18 @@
         )
 
     async def _publish(self, wanted: Wanted) -> bool:
-        """Appends the tables; returns whether they stand in the store."""
+        """Appends the tables; returns whether they stand in the store.
+
+        Ranges that they end are ordered no more before the record is made: it
+        tells a successor who may hold what.
+        """
+        self.lessor.keep_only(
+            frozenset(
+                (service, entry)
+                for service, table in wanted.items()
+                for entry in table
+            )
+        )
         message = self._record(wanted)
         payload = codec.encode_packed(message)
         self.sequence += 1
--- a/src/bilberryglade/_ownership/tests/test_steward.py
+++ b/src/bilberryglade/_ownership/tests/test_steward.py
@@ -1,11 +1,16 @@
 """The coordinator's tables in the store: taken over, written, written again."""
 
+import asyncio
+import typing
 import unittest
 from unittest import mock
 
+import result
+
 from bilberryglade._knowledge import knowledge
 from bilberryglade._membership import fleet, leadership
 from bilberryglade._ownership import (
+    holds,
     key_loads,
     lessor,
     owners,
@@ -15,7 +20,7 @@
 from bilberryglade._routing import catalogue
 from bilberryglade._targets import directory
 from bilberryglade._targets.tests import samples
-from bilberryglade._values import clock
+from bilberryglade._values import clock, leases
 from bilberryglade.platform.tests import servers
 
 
@@ -155,3 +160,88 @@
         }
         await self.rounds(1)
         self.assertGreater((await self.stored()).version, version)
+
+
+class ReplacedTablesTests(StewardCase):
+    """Orders of tables while the record of the next ones is on its way."""
+
+    async def asyncSetUp(self) -> None:
+        """Another target still holds the keys of the first owner."""
+        await super().asyncSetUp()
+        await self.rounds(2)
+        self.leasing = self.steward.lessor
+        tables = self.steward.tables
+        self.entry = tables.services['s'][0].entry
+        self.holder = ranges.Owner('w', 1)
+        held = self.entry._replace(owner=self.holder, fence=0)
+        known = holds.ordered((), held, clock.now() + 9)
+        self.leasing.holds['s'] = holds.confirmed(known, held, before=0)
+        self.leasing.addresses.note(self.holder, '10.9.9.9:80')
+        self.orders = mock.AsyncMock()
+        self.leasing.orders = self.orders
+        self.answer = asyncio.Event()
+        self.append = self.store.client.append
+
+    async def replace_owner(self) -> None:
+        """Writes tables in which the first owner has none of its keys."""
+        listed = self.known.directory
+        name = self.entry.owner.target
+        leaving = listed.targets[name]._replace(is_draining=True, offset=90)
+        self.steward.reader.known = self.known._replace(
+            directory=directory.put(listed, leaving)
+        )
+        with mock.patch.object(self.store.client, 'append', self.appended):
+            await self.rounds(1)
+
+    async def appended(self, *arguments: typing.Any) -> object:
+        """Answers the order on its way while the record is appended."""
+        self.answer.set()
+        await asyncio.sleep(0.02)
+        return await self.append(*arguments)
+
+    async def test_no_first_grant_while_tables_are_replaced(self) -> None:
+        """A successor would know neither the holder nor its time."""
+        self.orders.release.side_effect = self.answered(result.Ok(''))
+        lessor.Lessor.start_orders(self.leasing, self.steward.tables)
+        await self.let_orders_begin()
+        await self.replace_owner()
+        self.orders.release.assert_awaited()
+        self.assertNotIn(self.entry.first, self.granted())
+
+    async def test_no_order_that_has_not_begun(self) -> None:
+        """The same for orders that were started just before."""
+        self.leasing.holds.clear()
+        lessor.Lessor.start_orders(self.leasing, self.steward.tables)
+        await self.replace_owner()
+        self.assertNotIn(self.entry.first, self.granted())
+
+    async def test_grant_on_its_way_stands_in_the_record(self) -> None:
+        """It may be carried out, so a successor waits for its time."""
+        self.leasing.holds.clear()
+        self.orders.grant.side_effect = self.answered(
+            result.Err(leases.Failure.unclear)
+        )
+        lessor.Lessor.start_orders(self.leasing, self.steward.tables)
+        await self.let_orders_begin()
+        await self.replace_owner()
+        await self.steward.read_tables()
+        former = owners.former_of(self.steward.former['s'])
+        self.assertIn(self.entry.owner, {one.entry.owner for one in former})
+
+    async def let_orders_begin(self) -> None:
+        """Lets what was started go as far as to its first answer."""
+        for _ in range(9):
+            await asyncio.sleep(0)
+
+    def granted(self) -> set[int]:
+        """Returns the first keys of the ranges for which grants were sent."""
+        return {call.args[1].first for call in self.orders.grant.mock_calls}
+
+    def answered(self, answer: object) -> typing.Any:
+        """Returns an order that is answered when the test says so."""
+
+        async def order(*_: object) -> object:  # noqa: WPS430
+            await self.answer.wait()
+            return answer
+
+        return order
