A renewal on its way at a takeover counts from its arrival

A new coordinator took each owner in the tables to hold a lease of the longest time from the takeover on. A renewal that the earlier one sent just before it stopped may arrive half a second later, and its time runs from then: with leases of 10 s (the store silent) a key could go to its next owner 0.3 s too early (OWNER). The time that an order has is added.

--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -26,7 +26,7 @@
 )
 from bilberryglade._targets import directory
 from bilberryglade._values import clock, stored
-from bilberryglade.platform import store
+from bilberryglade.platform import orders, store
 from bilberryglade_schema import fleet as messages
 
 TOPIC: typing.Final = 'assignment'
@@ -317,8 +317,9 @@
         return message
 
     def _owning(self, owned: owners.Owned) -> owners.Former:
-        """Returns an owner, whose lease may have been renewed just now."""
-        return owners.Former(owned.entry, self.lessor.longest_lease)
+        """Returns an owner, whose last renewal may still be on its way."""
+        seconds = self.lessor.longest_lease + orders.GRANT_SECONDS
+        return owners.Former(owned.entry, seconds)
 
     def _put_in_force(self, message: messages.Assignment, offset: int) -> None:
         before = owners.slots(self.tables)
--- a/src/bilberryglade/_ownership/tests/test_steward.py
+++ b/src/bilberryglade/_ownership/tests/test_steward.py
@@ -21,6 +21,7 @@
 from bilberryglade._targets import directory
 from bilberryglade._targets.tests import samples
 from bilberryglade._values import clock, leases
+from bilberryglade.platform import orders
 from bilberryglade.platform.tests import servers
 
 
@@ -119,6 +120,24 @@
         self.assertGreater(left[listed] - clock.now(), 9)
 
 
+class TakeoverTests(StewardCase):
+    """What a coordinator takes the owners to hold that it finds."""
+
+    async def test_renewal_of_the_earlier_coordinator_on_its_way(self) -> None:
+        """Its time runs from an arrival after the takeover."""
+        await self.rounds(2)
+        self.lease.renew()
+        self.steward.term = -1
+        began = clock.now()
+        await self.rounds(1)
+        longest = 10 * (1 + holds.TARGET_DRIFT_PART)
+        for hold in self.steward.lessor.holds['s']:
+            with self.subTest(hold=hold):
+                self.assertGreater(
+                    hold.until, began + orders.GRANT_SECONDS + longest
+                )
+
+
 class EpochTests(StewardCase):
     """Writes after a conflict, in the same term."""
 
