Orders of an earlier term end when the next begins

After a conflict in the store the coordinator takes its tables over again without a pause, and tasks of before went on: their answers counted grants of ranges as confirmed that the new term had not ordered, and could clear its doubts on leases.

--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -91,15 +91,14 @@
         addresses: owners.Addresses,
     ) -> None:
         """Starts a term: each range of `held` may be leased to its owner."""
+        self.stop()
         now = clock.now()
         self.addresses.learn(addresses)
         self.holds = {
             service: tuple(_held(former, now) for former in found)
             for service, found in held.items()
         }
-        self.grants.clear()
         self.fenced.clear()
-        self.reach.forget()
 
     def stop(self) -> None:
         """Ends all orders on their way."""
--- a/src/bilberryglade/_ownership/tests/test_lessor.py
+++ b/src/bilberryglade/_ownership/tests/test_lessor.py
@@ -144,6 +144,31 @@
         return answer
 
 
+class NewTermTests(GrantCase):
+    """Orders of an earlier term whose answers come in a later one."""
+
+    async def test_answer_of_an_earlier_term_clears_no_doubt(self) -> None:
+        """What the tables of the new term say of a lease stays."""
+        answer = asyncio.Event()
+
+        async def grant(*_: object) -> object:  # noqa: WPS430
+            await answer.wait()
+            return result.Ok(None)
+
+        self.orders.grant.side_effect = grant
+        self.passed += 1
+        self.lessor.start_orders(self.tables)
+        tasks = list(self.lessor.busy.values())
+        await asyncio.sleep(0)
+        former = owners.Former(ENTRY, 10)
+        self.lessor.begin({'s': [former]}, {})
+        before = self.hold()
+        answer.set()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.assertEqual(self.hold(), before)
+        self.assertEqual(self.lessor.grants, {})
+
+
 class LateReleaseTests(GrantCase):
     """Releases that wait for others while the tables change."""
 
