--- a/src/bilberryglade/_ownership/tests/lease_links.py
+++ b/src/bilberryglade/_ownership/tests/lease_links.py
@@ -143,32 +143,44 @@
         on_fresh: bool,
     ) -> outcomes.Outcome:
         """Carries an order out; see `sender.Sender.send`."""
+        way: list[str] = []
+        answer: asyncio.Future[outcomes.Outcome] = (
+            asyncio.get_running_loop().create_future()
+        )
+        try:
+            async with asyncio.timeout(call.seconds):
+                return await self._exchange(call, on_fresh, answer, way)
+        except TimeoutError:
+            if way:
+                return outcomes.Unknown(outcomes.Reason.deadline)
+            return outcomes.NotRun(outcomes.Reason.target_unreachable)
+        finally:
+            answer.cancel()
+
+    async def _exchange(
+        self,
+        call: sender.Call,
+        on_fresh: bool,
+        answer: 'asyncio.Future[outcomes.Outcome]',
+        way: list[str],
+    ) -> outcomes.Outcome:
+        """Sends an order, which is noted in `way` then, and waits."""
         world = self.world
-        chance = world.chance
-        is_kept = not on_fresh and chance.random() < KEPT_PART
         target = self._at(call.address)
-        if not is_kept:
+        if on_fresh or world.chance.random() > KEPT_PART:
             await asyncio.sleep(world.network.transit())
             if target is None:
                 return outcomes.NotRun(outcomes.Reason.target_unreachable)
             if world.network.is_cut(self.name, target.name):
                 await asyncio.sleep(CONNECT_SECONDS)
                 return outcomes.NotRun(outcomes.Reason.target_unreachable)
-        answer: asyncio.Future[outcomes.Outcome] = (
-            asyncio.get_running_loop().create_future()
-        )
+        way.append(call.address)
         instance = world.instances.get(self.name)
         delay = world.network.transit()
-        delay += chance.uniform(0, world.network.order_delay)
+        delay += world.chance.uniform(0, world.network.order_delay)
         if instance is not None:
             world.later(delay, self._arrive, call, answer, instance, target)
-        try:
-            async with asyncio.timeout(call.seconds):
-                return await answer
-        except TimeoutError:
-            return outcomes.Unknown(outcomes.Reason.deadline)
-        finally:
-            answer.cancel()
+        return await answer
 
     def _at(self, address: str) -> modelled_targets.Target | None:
         return next(
