Stand-in of a target echoes the request's id when it is misdirected too

The protocol has targets echo X-Request-Id in their responses; the stand-in left it out of its 421, so tests could not tell a request's own refusal from another one's.

--- a/src/bilberryglade_stand_ins/owning_target.py
+++ b/src/bilberryglade_stand_ins/owning_target.py
@@ -95,12 +95,13 @@
         text = request.headers.get('x-shard-key')
         key = int(text) if text else None
         lacks = self.is_partitioned and (key is None or not self.holds(key))
+        request_id = request.headers['x-request-id']
         if named != self.name or lacks:
             self.misdirected += 1
             return responses.Response(
-                status_code=MISDIRECTED, headers={'x-not-executed': '1'}
+                status_code=MISDIRECTED,
+                headers={'x-request-id': request_id, 'x-not-executed': '1'},
             )
-        request_id = request.headers['x-request-id']
         organisation = request.headers.get('x-tenant-id', '')
         self.runs.append(Run(request_id, key, organisation, time.monotonic()))
         await asyncio.sleep(self.work_seconds)
