A refusal that belongs to another request promises nothing of this one

What callers saw: 'not run, try again' (503, 421 in place of 502) for a request that a target was running, or such a request sent to a second target. Cause: an answer's status 421 and X-Not-Executed were looked at before its id, so an earlier refusal that a target wrote once more on a kept connection was taken for the next request's. The same answer's load report counted, and the connection was kept, so that the request's own late answer stood where the one after it was expected.

The id is looked at first now. A call names what its answers bear (marks), and the connection compares as the head ends: a foreign answer closes it before it is given back, since a caller that waits for a place would take it at once.

Three cases of test_exchange took refusals without any id ('shed', '429 by a target', misdirected). By the protocol targets echo the id, so these were no answers; the cases bear the id now, and the same answers without it, with another one or with two must come to nothing. Nothing else of them changed.

--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -1,4 +1,4 @@
-"""Connections to targets that are reused only after a whole answer."""
+"""Connections to targets that are reused only after a call's own answer."""
 
 import contextvars
 import socket
@@ -11,6 +11,8 @@
 from aiosonic import connection, connectors, exceptions, pools
 
 from bilberryglade._http import resolver
+from bilberryglade._targets import marks
+from bilberryglade._values import outcomes
 
 #: Idle time after which a kept connection is closed instead of used.
 IDLE_MS: typing.Final = 2000
@@ -32,11 +34,16 @@
     """The library tried to send one request over a second connection."""
 
 
+class ForeignAnswerError(exceptions.AiosonicError):  # type: ignore[misc]
+    """What came as the answer to a call belongs to another one."""
+
+
 class Exchange:
-    """What one attempt has put on the wire."""
+    """What one attempt has put on the wire, and what answers it."""
 
-    def __init__(self) -> None:
-        """Starts with nothing sent."""
+    def __init__(self, marked: marks.Marks) -> None:
+        """Starts with nothing sent; answers to it bear `marked`."""
+        self.marked = marked
         #: The stream that carries the request; None before the first byte.
         self.writer: object = None
 
@@ -64,6 +71,8 @@
         self.reads_headers = False
         #: Bytes of the head that is being read.
         self.head_size = 0
+        #: Header lines of the answer that is being read.
+        self.head: list[bytes] = []
         #: Framing headers of the answer that is being read.
         self.framing: set[bytes] = set()
 
@@ -88,6 +97,7 @@
         """Reads the status line; header lines follow."""
         self.reads_headers = True
         self.head_size = 0
+        self.head = []
         self.framing = set()
         return bytes(await super().readuntil(separator))
 
@@ -105,7 +115,10 @@
             self.reads_headers = False
             if line.strip():
                 raise exceptions.HttpParsingError('malformed header line')
-        elif line.lower().startswith(FRAMING_HEADERS):
+            self._check_marks()
+            return line
+        self.head.append(line)
+        if line.lower().startswith(FRAMING_HEADERS):
             self.framing.add(b''.join(line.lower().split()))
         return line
 
@@ -126,6 +139,19 @@
             self.close()
         super().release()
 
+    def _check_marks(self) -> None:
+        """Closes the connection if the answer belongs to another call.
+
+        The call's own answer may follow, and the next call would read it.
+        """
+        exchange = current.get()
+        if exchange is None:
+            return
+        if marks.are_own(exchange.marked, tuple(map(_header_of, self.head))):
+            return
+        self.close()
+        raise ForeignAnswerError
+
     async def _connection_made(self) -> None:  # noqa: WPS437
         """Makes the connection end at once when it is closed or goes silent.
 
@@ -150,6 +176,12 @@
         self.keep = False
 
 
+def _header_of(line: bytes) -> outcomes.Header:
+    """Returns a header line as the library reads it."""
+    name, _, text = line.decode().partition(':')
+    return outcomes.Header(name.lower(), text.strip())
+
+
 def http_client(
     connection_class: abc.Callable[[pools.BasePool], connection.Connection],
     size: int,
--- a/src/bilberryglade/_targets/sender.py
+++ b/src/bilberryglade/_targets/sender.py
@@ -6,9 +6,10 @@
 from http import cookies
 
 import aiosonic
+import loguru
 from aiosonic import exceptions, timeout
 
-from bilberryglade._targets import answers, connections
+from bilberryglade._targets import answers, connections, marks
 from bilberryglade._values import outcomes
 
 #: Seconds for a new connection; targets of the fleet are milliseconds away.
@@ -37,6 +38,8 @@
     body: bytes
     #: Seconds until a whole answer must have arrived.
     seconds: float
+    #: What tells its answer from those to other calls.
+    marked: marks.Marks = marks.Marks()
 
 
 class Sender:
@@ -93,7 +96,7 @@
     ) -> outcomes.Outcome:
         http = self.fresh if on_fresh else self.kept
         deadline = time.monotonic() + call.seconds
-        exchange = connections.Exchange()
+        exchange = connections.Exchange(call.marked)
         connections.current.set(exchange)
         try:
             response = await http.request(
@@ -107,6 +110,7 @@
             )
             return await self._outcome(call.method, response, deadline)
         except BROKEN_EXCHANGE as failure:
+            _note_foreign(call, failure)
             if exchange.is_sent:
                 return outcomes.Unknown(_lost_reason(failure))
             return outcomes.NotRun(outcomes.Reason.target_unreachable)
@@ -144,6 +148,13 @@
     return outcomes.Reason.answer_lost
 
 
+def _note_foreign(call: Call, failure: BaseException) -> None:
+    if isinstance(failure, connections.ForeignAnswerError):
+        loguru.logger.warning(
+            'answer of {} belongs to another call', call.address
+        )
+
+
 def _timeouts(seconds: float) -> timeout.Timeouts:
     return timeout.Timeouts(
         sock_connect=min(CONNECT_SECONDS, seconds),
--- a/src/bilberryglade/platform/exchange.py
+++ b/src/bilberryglade/platform/exchange.py
@@ -4,7 +4,7 @@
 
 from bilberryglade._delivery import sends
 from bilberryglade._routing import admission
-from bilberryglade._targets import directory, sender, standing
+from bilberryglade._targets import directory, marks, sender, standing
 from bilberryglade._values import outcomes
 from bilberryglade.platform import headers
 
@@ -37,6 +37,7 @@
             headers=_headers(request, admitted, target, seconds),
             body=request.body,
             seconds=seconds,
+            marked=marked(request.request_id),
         )
         outcome = await self.http.send(call, on_fresh=False)
         if not isinstance(outcome, outcomes.Answered):
@@ -44,12 +45,20 @@
         return understood(request.request_id, outcome)
 
 
+def marked(request_id: str) -> marks.Marks:
+    """Returns what each answer to a request bears: its id."""
+    return marks.Marks(outcomes.Header(headers.REQUEST_ID, request_id))
+
+
 def understood(request_id: str, answer: outcomes.Answered) -> sends.Sent:
     """Returns what a target's answer means.
 
-    An answer with another request's id, a success without the target's mark
-    or with an encoded body is none; whether the request ran is unknown then.
+    An answer that doesn't bear the request's own id belongs to another one,
+    whatever it says: the request may run, and nothing is known of the load.
+    A success without the target's mark or with an encoded body is no answer.
     """
+    if not marks.are_own(marked(request_id), answer.headers):
+        return sends.Sent(outcomes.Unknown(outcomes.Reason.answer_lost))
     report = report_of(headers.find(answer.headers, headers.LOAD))
     if answer.status == MISDIRECTED_STATUS:
         refused = outcomes.NotRun(outcomes.Reason.not_owner)
@@ -58,10 +67,9 @@
         refused = outcomes.NotRun(outcomes.Reason.target_refused)
         is_shed = answer.status == FULL_STATUS
         return sends.Sent(refused, report, is_shed=is_shed)
-    echoed = headers.all_of(answer.headers, headers.REQUEST_ID)
     is_marked = bool(headers.find(answer.headers, headers.SIGNATURE))
     is_encoded = bool(headers.find(answer.headers, headers.CONTENT_ENCODING))
-    if echoed != (request_id,) or not is_marked or is_encoded:
+    if not is_marked or is_encoded:
         return sends.Sent(outcomes.Unknown(outcomes.Reason.answer_lost), report)
     return sends.Sent(answer, report)
 
--- a/src/bilberryglade/platform/tests/test_exchange.py
+++ b/src/bilberryglade/platform/tests/test_exchange.py
@@ -2,17 +2,18 @@
 
 import unittest
 
-from bilberryglade._delivery import router
+from bilberryglade._delivery import router, sends
 from bilberryglade._routing.tests import samples
 from bilberryglade._values import outcomes
 from bilberryglade.platform import exchange, front, headers
 
 Header = outcomes.Header
 ID = 'r-1'
+LOAD = '2,1,3,150'
 GOOD = (
     Header(headers.REQUEST_ID, ID),
     Header(headers.SIGNATURE, 's'),
-    Header(headers.LOAD, '2,1,3,150'),
+    Header(headers.LOAD, LOAD),
 )
 
 
@@ -37,11 +38,12 @@
         cases = (
             ('whole', answer(), answer()),
             ('failed', answer(500), answer(500)),
-            ('shed', answer(503, (not_run,)), refused),
-            ('429 by a target', answer(429, (not_run,)), refused),
-            ('503 without the word', answer(503, ()), unknown),
+            ('shed', answer(503, (GOOD[0], not_run)), refused),
+            ('429 by a target', answer(429, (GOOD[0], not_run)), refused),
+            ('503 without the word', answer(503, GOOD[:1]), unknown),
             ('another request', answer(200, (other, *GOOD[1:])), unknown),
             ('two ids', answer(200, (other, *GOOD)), unknown),
+            ('no id', answer(200, GOOD[1:]), unknown),
             ('no mark', answer(200, GOOD[:1]), unknown),
             ('encoded', answer(200, (*GOOD, encoded)), unknown),
         )
@@ -50,15 +52,46 @@
                 sent = exchange.understood(ID, given)
                 self.assertEqual(sent.outcome, meant)
 
+    def test_refusals(self) -> None:
+        """A request's own refusal tells of its target, and why it refused."""
+        not_run = Header(headers.NOT_RUN, '1')
+        reason = outcomes.Reason
+        cases = (
+            (503, reason.target_refused, (True, False)),
+            (429, reason.target_refused, (False, False)),
+            (400, reason.target_refused, (False, False)),
+            (421, reason.not_owner, (False, True)),
+        )
+        for status, why, told in cases:
+            with self.subTest(status=status):
+                given = answer(status, (GOOD[0], not_run, GOOD[2]))
+                sent = exchange.understood(ID, given)
+                self.assertEqual(sent.outcome, outcomes.NotRun(why))
+                self.assertEqual((sent.is_shed, sent.is_misdirected), told)
+                self.assertEqual(sent.report, exchange.report_of(LOAD))
+
+    def test_answer_to_another_request_tells_nothing(self) -> None:
+        """It is no refusal, no owner's word, and no report on load."""
+        other = Header(headers.REQUEST_ID, 'another')
+        rest = (Header(headers.NOT_RUN, '1'), *GOOD[1:])
+        lost = outcomes.Unknown(outcomes.Reason.answer_lost)
+        for status in (200, 400, 421, 429, 500, 503):
+            for ids in ((), (other,), (GOOD[0], other), (GOOD[0], GOOD[0])):
+                with self.subTest(status=status, ids=ids):
+                    sent = exchange.understood(
+                        ID, answer(status, (*ids, *rest))
+                    )
+                    self.assertEqual(sent, sends.Sent(lost))
+
     def test_misdirected(self) -> None:
         """Another target at the address has not run the request."""
-        sent = exchange.understood(ID, answer(421, ()))
+        sent = exchange.understood(ID, answer(421, GOOD[:1]))
         self.assertIsInstance(sent.outcome, outcomes.NotRun)
         self.assertTrue(sent.is_misdirected)
 
     def test_load(self) -> None:
         """Load reports in any state name no load rather than a wrong one."""
-        report = exchange.report_of('2,1,3,150')
+        report = exchange.report_of(LOAD)
         assert report is not None
         self.assertEqual((report.running, report.waiting), (2, 1))
         self.assertAlmostEqual(report.slowness, 1.5)
