Orders to targets go over connections of their own

Grants and releases of leases shared kept connections with requests. Targets echo nothing of an order, and any 200 counted, so an answer to a request that came late, or once more, could confirm an order that was never taken: in a trial a stray 200 where a release's answer is expected gave 'release Ok('')', and its keys counted as free while work on them went on.

Before: test_orders_share_no_connection_with_requests 'AssertionError: Items in the first set but not the second' (one port carried both).

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -39,10 +39,14 @@
 #: Connections to the store and to all targets, of each class.
 STORE_CONNECTIONS: typing.Final = 16
 TARGET_CONNECTIONS: typing.Final = 256
+#: Connections for orders: those under way, and an idle one to each target.
+ORDER_CONNECTIONS: typing.Final = 256
 CALLER_CONNECTIONS: typing.Final = 3000
 STORE_ANSWER_BYTES: typing.Final = 16_777_216
 #: Longest answer of a target that is taken in.
 ANSWER_BYTES: typing.Final = 16_777_216
+#: Longest answer to an order; targets send headers alone.
+ORDER_ANSWER_BYTES: typing.Final = 65_536
 #: Targets of the platform close idle connections after 10 s.
 TARGET_IDLE_MS: typing.Final = 7000
 PEER_QUEUE: typing.Final = 2000
@@ -94,6 +98,9 @@
         self.targets = sender.Sender(
             TARGET_CONNECTIONS, ANSWER_BYTES, TARGET_IDLE_MS
         )
+        self.orders = sender.Sender(
+            ORDER_CONNECTIONS, ORDER_ANSWER_BYTES, TARGET_IDLE_MS
+        )
         self.load_sum = key_loads.LoadSum()
         self.steward = steward.Steward(
             self.fleet,
@@ -102,7 +109,7 @@
             self.reader,
             lessor.Lessor(
                 self.candidacy,
-                orders.Orders(self.targets),
+                orders.Orders(self.orders),
                 self.reader,
                 place.bounds.longest_lease,
             ),
