Keys count as given back only by an answer that is surely the release's

Any 200 on the connection counted as a release, so an earlier answer that a target wrote once more freed keys on which it was still at work: two owners of a key. A release goes over a connection used for it alone now, and counts only with status 200, exactly one X-Handover and no X-Request-Id; anything else is unclear and told in a line. The price is a new connection a release.

Before: test_earlier_answer_does_not_free_keys 'AssertionError: Ok('') != Err(<Failure.unclear: 'unclear'>)', test_releases the same for answers without the word, with an id, with two words; test_release_goes_over_a_connection_of_its_own '1 != 3'.

--- a/src/bilberryglade/platform/orders.py
+++ b/src/bilberryglade/platform/orders.py
@@ -2,10 +2,11 @@
 
 import typing
 
+import loguru
 import result
 
 from bilberryglade._codec import codec
-from bilberryglade._targets import sender
+from bilberryglade._targets import marks, sender
 from bilberryglade._values import leases, outcomes
 from bilberryglade.platform import durations, headers
 
@@ -14,13 +15,20 @@
 OK_STATUS: typing.Final = 200
 CONFLICT_STATUS: typing.Final = 409
 JSON_BODY: typing.Final = {'content-type': 'application/json'}  # noqa: WPS407
+#: Targets echo nothing of an order. A request's id is on answers to requests.
+MARKS: typing.Final[dict[str, marks.Marks]] = {  # noqa: WPS407
+    'grant': marks.Marks(),
+    'release': marks.Marks(foreign=frozenset((headers.REQUEST_ID,))),
+}
+
+Ordered: typing.TypeAlias = result.Result[outcomes.Answered, leases.Failure]
 
 
 class Orders:
-    """Gives orders to targets."""
+    """Gives orders to targets, and confirms what is surely their answer."""
 
     def __init__(self, http: sender.Sender) -> None:
-        """Sends through `http`."""
+        """Sends through `http`, whose connections carry orders alone."""
         self.http = http
 
     async def grant(
@@ -37,7 +45,9 @@
         }
         if lease.handover:
             order['handover'] = lease.handover
-        answer = await self._order(target, 'grant', order, GRANT_SECONDS)
+        answer = await self._order(
+            target, 'grant', order, GRANT_SECONDS, on_fresh=False
+        )
         return answer.map(lambda _: None)
 
     async def release(
@@ -46,16 +56,20 @@
         lease: leases.Lease,
         seconds: float,
     ) -> result.Result[str, leases.Failure]:
-        """Takes keys back; returns the handover when their work has ended."""
+        """Takes keys back; returns the handover when their work has ended.
+
+        It frees the keys, so it goes over a connection on which nothing else
+        can be answered, and the handover must be there.
+        """
         order: dict[str, object] = {
             'from': lease.first,
             'to': lease.last,
             'fence': lease.fence,
         }
-        answer = await self._order(target, 'release', order, seconds)
-        return answer.map(
-            lambda answered: headers.find(answered.headers, headers.HANDOVER),
+        answer = await self._order(
+            target, 'release', order, seconds, on_fresh=True
         )
+        return answer.and_then(lambda given: _handover(target, given))
 
     async def reach(self, target: leases.Holder, path: str) -> bool:
         """Tells whether a target answers at its address, in whatever state.
@@ -83,7 +97,9 @@
         name: str,
         order: dict[str, object],
         seconds: float,
-    ) -> result.Result[outcomes.Answered, leases.Failure]:
+        *,
+        on_fresh: bool,
+    ) -> Ordered:
         call = sender.Call(
             address=target.address,
             method='POST',
@@ -91,8 +107,9 @@
             headers={**JSON_BODY, headers.EXPECTED_TARGET: target.name},
             body=codec.encode_json(order),
             seconds=seconds,
+            marked=MARKS[name],
         )
-        outcome = await self.http.send(call, on_fresh=False)
+        outcome = await self.http.send(call, on_fresh=on_fresh)
         if isinstance(outcome, outcomes.NotRun):
             return result.Err(leases.Failure.unreachable)
         if isinstance(outcome, outcomes.Unknown):
@@ -102,3 +119,22 @@
         if outcome.status == CONFLICT_STATUS:
             return result.Err(leases.Failure.fenced)
         return result.Err(leases.Failure.rejected)
+
+
+def _handover(
+    target: leases.Holder,
+    answer: outcomes.Answered,
+) -> result.Result[str, leases.Failure]:
+    """Returns the word by which an answer is known to be a release's."""
+    words = headers.all_of(answer.headers, headers.HANDOVER)
+    if len(words) != 1:
+        return _unclear(target, f'release answered with {len(words)} handovers')
+    return result.Ok(words[0])
+
+
+def _unclear(
+    target: leases.Holder,
+    what: str,
+) -> result.Err[leases.Failure]:
+    loguru.logger.warning('odd answer of {}: {}', target.name, what)
+    return result.Err(leases.Failure.unclear)
--- /dev/null
+++ b/src/bilberryglade/platform/tests/test_orders.py
@@ -0,0 +1,96 @@
+"""Orders to targets count only by answers that are their own."""
+
+import asyncio
+import typing
+import unittest
+
+import result
+
+from bilberryglade._targets import sender
+from bilberryglade._targets.tests import raw_target
+from bilberryglade._values import leases
+from bilberryglade.platform import orders
+
+LEASE: typing.Final = leases.Lease(0, 9, fence=2, seconds=3)
+#: Seconds for a release; its answers come at once here.
+SECONDS: typing.Final = 0.5
+UNCLEAR: typing.Final = result.Err(leases.Failure.unclear)
+REJECTED: typing.Final = result.Err(leases.Failure.rejected)
+FENCED: typing.Final = result.Err(leases.Failure.fenced)
+ID: typing.Final = b'x-request-id: r-1\r\n'
+WORD: typing.Final = b'x-handover: w\r\n'
+REFUSED: typing.Final = b'x-request-id: r-1\r\nx-not-executed: 1\r\n'
+
+Answer: typing.TypeAlias = result.Result[typing.Any, leases.Failure]
+
+
+def written(status: int, named: bytes = b'') -> bytes:
+    """Returns the bytes of an answer without a body."""
+    return b'HTTP/1.1 %d X\r\n%scontent-length: 0\r\n\r\n' % (status, named)
+
+
+class OrderTests(unittest.IsolatedAsyncioTestCase):
+    """A target's answers to orders, over sockets."""
+
+    async def start(self, *answers: bytes) -> None:
+        """Starts a target that writes `answers` in turn, to any order."""
+        self.answers = answers
+        self.target = raw_target.RawTarget(self.answer)
+        self.addAsyncCleanup(self.target.stop)
+        self.holder = leases.Holder('t', await self.target.start())
+        http = sender.Sender(4, 1000)
+        self.addAsyncCleanup(http.close)
+        self.orders = orders.Orders(http)
+
+    async def answer(
+        self,
+        _: raw_target.RawTarget,
+        writer: asyncio.StreamWriter,
+        number: int,
+    ) -> bool:
+        """Writes the answer that is next, and keeps the connection."""
+        writer.write(self.answers[number - 1])
+        return True
+
+    async def grant(self) -> Answer:
+        """Grants a lease."""
+        return await self.orders.grant(self.holder, LEASE)
+
+    async def release(self) -> Answer:
+        """Takes its keys back."""
+        return await self.orders.release(self.holder, LEASE, SECONDS)
+
+    async def test_releases(self) -> None:
+        """Keys count as given back only by the word that comes with it."""
+        cases: tuple[tuple[bytes, Answer], ...] = (
+            (written(200, WORD), result.Ok('w')),
+            (written(200), UNCLEAR),
+            (written(200, ID), UNCLEAR),
+            (written(200, ID + WORD), UNCLEAR),
+            (written(200, WORD + WORD), UNCLEAR),
+            (written(409), FENCED),
+            (written(400, WORD), REJECTED),
+            (written(503, REFUSED), UNCLEAR),
+            (written(200, WORD)[:-1], UNCLEAR),
+        )
+        for raw, meant in cases:
+            with self.subTest(raw=raw):
+                await self.start(raw)
+                self.assertEqual(await self.release(), meant)
+
+    async def test_earlier_answer_does_not_free_keys(self) -> None:
+        """A grant's answer that comes once more is no release's."""
+        await self.start(written(200), written(200))
+        self.assertEqual(await self.grant(), result.Ok(None))
+        self.assertEqual(await self.release(), UNCLEAR)
+
+    async def test_release_goes_over_a_connection_of_its_own(self) -> None:
+        """Nothing that was asked before can be answered on it."""
+        word = written(200, WORD)
+        await self.start(written(200), word, word, written(200))
+        await self.grant()
+        for _ in range(2):
+            self.assertEqual(await self.release(), result.Ok('w'))
+        self.assertEqual(self.target.connections, 3)
+        self.assertEqual(await self.grant(), result.Ok(None))
+        self.assertEqual(self.target.connections, 3)
