A grant is confirmed only by an answer that bears nothing of other calls

Any 200 confirmed a grant, also one with a request's id or a release's word, and any 409 said that the target had seen a higher fence; statuses that are neither success nor refusal counted as a refusal.

Before: test_grants 'AssertionError: Ok(None) != Err(<Failure.unclear: 'unclear'>)' for 200 with an id and with a handover, 'Err(<Failure.fenced: 'fenced'>)' for 409 with an id, 'Err(<Failure.rejected: 'rejected'>)' for 204, 302 and a request's refusal; test_foreign_answer_ends_the_connection_of_grants the same.

--- a/src/bilberryglade/platform/orders.py
+++ b/src/bilberryglade/platform/orders.py
@@ -14,10 +14,15 @@
 GRANT_SECONDS: typing.Final = 0.5
 OK_STATUS: typing.Final = 200
 CONFLICT_STATUS: typing.Final = 409
+#: Status from which an answer says that an order was not taken.
+REFUSED_STATUS: typing.Final = 400
 JSON_BODY: typing.Final = {'content-type': 'application/json'}  # noqa: WPS407
-#: Targets echo nothing of an order. A request's id is on answers to requests.
+#: Targets echo nothing of an order. A request's id is on answers to requests,
+#: a handover on answers to releases.
 MARKS: typing.Final[dict[str, marks.Marks]] = {  # noqa: WPS407
-    'grant': marks.Marks(),
+    'grant': marks.Marks(
+        foreign=frozenset((headers.REQUEST_ID, headers.HANDOVER)),
+    ),
     'release': marks.Marks(foreign=frozenset((headers.REQUEST_ID,))),
 }
 
@@ -118,7 +123,9 @@
             return result.Ok(outcome)
         if outcome.status == CONFLICT_STATUS:
             return result.Err(leases.Failure.fenced)
-        return result.Err(leases.Failure.rejected)
+        if outcome.status >= REFUSED_STATUS:
+            return result.Err(leases.Failure.rejected)
+        return _unclear(target, f'{name} answered {outcome.status}')
 
 
 def _handover(
--- a/src/bilberryglade/platform/tests/test_orders.py
+++ b/src/bilberryglade/platform/tests/test_orders.py
@@ -17,6 +17,7 @@
 UNCLEAR: typing.Final = result.Err(leases.Failure.unclear)
 REJECTED: typing.Final = result.Err(leases.Failure.rejected)
 FENCED: typing.Final = result.Err(leases.Failure.fenced)
+UNREACHABLE: typing.Final = result.Err(leases.Failure.unreachable)
 ID: typing.Final = b'x-request-id: r-1\r\n'
 WORD: typing.Final = b'x-handover: w\r\n'
 REFUSED: typing.Final = b'x-request-id: r-1\r\nx-not-executed: 1\r\n'
@@ -60,6 +61,26 @@
         """Takes its keys back."""
         return await self.orders.release(self.holder, LEASE, SECONDS)
 
+    async def test_grants(self) -> None:
+        """A grant is confirmed by an answer that says nothing else."""
+        cases: tuple[tuple[bytes, Answer], ...] = (
+            (written(200), result.Ok(None)),
+            (written(200, ID), UNCLEAR),
+            (written(200, WORD), UNCLEAR),
+            (written(204), UNCLEAR),
+            (written(302), UNCLEAR),
+            (written(409), FENCED),
+            (written(409, ID), UNCLEAR),
+            (written(400), REJECTED),
+            (written(421), REJECTED),
+            (written(503, REFUSED), UNCLEAR),
+            (written(200)[:-1], UNCLEAR),
+        )
+        for raw, meant in cases:
+            with self.subTest(raw=raw):
+                await self.start(raw)
+                self.assertEqual(await self.grant(), meant)
+
     async def test_releases(self) -> None:
         """Keys count as given back only by the word that comes with it."""
         cases: tuple[tuple[bytes, Answer], ...] = (
@@ -68,6 +89,7 @@
             (written(200, ID), UNCLEAR),
             (written(200, ID + WORD), UNCLEAR),
             (written(200, WORD + WORD), UNCLEAR),
+            (written(204, WORD), UNCLEAR),
             (written(409), FENCED),
             (written(400, WORD), REJECTED),
             (written(503, REFUSED), UNCLEAR),
@@ -94,3 +116,26 @@
         self.assertEqual(self.target.connections, 3)
         self.assertEqual(await self.grant(), result.Ok(None))
         self.assertEqual(self.target.connections, 3)
+
+    async def test_foreign_answer_ends_the_connection_of_grants(self) -> None:
+        """The grant's own answer, which may follow, is no later one's."""
+        for foreign in (written(200, ID), written(200, WORD)):
+            with self.subTest(foreign=foreign):
+                await self.start(foreign + written(200), written(200))
+                self.assertEqual(await self.grant(), UNCLEAR)
+                self.assertEqual(await self.grant(), result.Ok(None))
+                self.assertEqual(self.target.connections, 2)
+
+    async def test_bytes_after_a_grant_end_its_connection(self) -> None:
+        """The next grant is not confirmed by them."""
+        await self.start(written(200) + written(200), written(409))
+        self.assertEqual(await self.grant(), result.Ok(None))
+        self.assertEqual(await self.grant(), FENCED)
+        self.assertEqual(self.target.connections, 2)
+
+    async def test_target_that_is_away(self) -> None:
+        """No byte of an order went out."""
+        await self.start()
+        await self.target.stop()
+        self.assertEqual(await self.grant(), UNREACHABLE)
+        self.assertEqual(await self.release(), UNREACHABLE)
