A target counts as back only by its answer to the look itself

The look at a target that had failed an order went over a kept connection, and any whole answer counted, so a late answer to something asked before the failure let orders go to a target that did not answer. It goes over a new connection now, and an answer with a request's id or a handover is none.

Before: test_reach 'AssertionError: True != False' for answers with an id, test_each_look_takes_a_new_connection '1 != 3'.

--- a/src/bilberryglade/platform/orders.py
+++ b/src/bilberryglade/platform/orders.py
@@ -24,6 +24,9 @@
         foreign=frozenset((headers.REQUEST_ID, headers.HANDOVER)),
     ),
     'release': marks.Marks(foreign=frozenset((headers.REQUEST_ID,))),
+    'reach': marks.Marks(
+        foreign=frozenset((headers.REQUEST_ID, headers.HANDOVER)),
+    ),
 }
 
 Ordered: typing.TypeAlias = result.Result[outcomes.Answered, leases.Failure]
@@ -89,8 +92,9 @@
             headers={headers.EXPECTED_TARGET: target.name},
             body=b'',
             seconds=GRANT_SECONDS,
+            marked=MARKS['reach'],
         )
-        outcome = await self.http.send(call, on_fresh=False)
+        outcome = await self.http.send(call, on_fresh=True)
         if not isinstance(outcome, outcomes.Answered):
             return False
         named = headers.find(outcome.headers, headers.ANSWERING_TARGET)
--- a/src/bilberryglade/platform/tests/test_orders.py
+++ b/src/bilberryglade/platform/tests/test_orders.py
@@ -139,3 +139,29 @@
         await self.target.stop()
         self.assertEqual(await self.grant(), UNREACHABLE)
         self.assertEqual(await self.release(), UNREACHABLE)
+
+    async def test_reach(self) -> None:
+        """Any answer to the look itself tells that a target is there."""
+        named = b'x-instance-id: %s\r\n'
+        cases = (
+            (written(200, named % b't'), True),
+            (written(503, named % b't'), True),
+            (written(404), True),
+            (written(200, named % b'u'), False),
+            (written(200, ID), False),
+            (written(503, REFUSED), False),
+            (b'', False),
+        )
+        for raw, meant in cases:
+            with self.subTest(raw=raw):
+                await self.start(raw)
+                is_there = await self.orders.reach(self.holder, '/health')
+                self.assertEqual(is_there, meant)
+
+    async def test_each_look_takes_a_new_connection(self) -> None:
+        """What answers on an old one may be what was asked before."""
+        await self.start(written(200), written(200), written(200))
+        await self.grant()
+        for _ in range(2):
+            self.assertTrue(await self.orders.reach(self.holder, '/health'))
+        self.assertEqual(self.target.connections, 3)
