An answer to an earlier request confirms no grant to a target

Nothing in the answer tells it from a request's, so one that a target wrote once more confirmed grants, and with them revocations, that it had not taken: a slot counted as vacated while it was served. Grants go over connections used for one each, in a pool of their own so that they never wait for places which requests hold. This also ends the library's second sending of a grant when a kept connection drops.

Before: test_answer_to_an_earlier_request_confirms_no_grant 'AssertionError: True is not false'.

--- a/src/bilberryglade/_targets/client.py
+++ b/src/bilberryglade/_targets/client.py
@@ -48,6 +48,10 @@
         self.sender = sender.Sender(limits.connections, limits.answer_bytes)
         self.kept = self.sender.kept
         self.fresh = self.sender.fresh
+        #: Nothing that was asked before can be answered on one of these.
+        self.granting = connections.http_client(
+            connections.FreshConnection, limits.connections
+        )
         #: Monotonic seconds until which kept connections are distrusted.
         self.silent_until: dict[str, float] = {}
 
@@ -91,7 +95,7 @@
             request_timeout=GRANT_SECONDS,
         )
         try:
-            response = await self.kept.put(
+            response = await self.granting.put(
                 f'http://{address}/-/grants',
                 data=codec.encode_json(batch),
                 timeouts=limits,
@@ -126,6 +130,7 @@
     async def close(self) -> None:
         """Closes every connection."""
         await self.sender.close()
+        await self.granting.aclose()
 
     async def _attempt(
         self,
--- a/src/bilberryglade/_targets/tests/test_client.py
+++ b/src/bilberryglade/_targets/tests/test_client.py
@@ -224,6 +224,46 @@
         self.assertEqual(self.target.connections, 2)
 
 
+class GrantTest(ClientCase):
+    """What counts as a grant that a target took."""
+
+    async def test_answer_to_an_earlier_request_confirms_no_grant(self) -> None:
+        """A target writes one once more where a grant's answer is due."""
+        carried: list[asyncio.StreamWriter] = []
+
+        async def behave(  # noqa: WPS430
+            target: raw_target.RawTarget,
+            writer: asyncio.StreamWriter,
+            number: int,
+        ) -> bool:
+            is_grant = target.seen[-1].startswith(b'PUT /-/grants ')
+            if is_grant and writer not in carried:
+                writer.write(_refusal(409))
+                return True
+            carried.append(writer)
+            writer.write(raw_target.whole(b'own'))
+            return True
+
+        address = await self.start(behave)
+        await self.run_one(address, 'GET', repeatable=True)
+        self.assertFalse(await self.client.grant(address, []))
+
+    async def test_answers(self) -> None:
+        """Only a success counts, and each grant goes out once."""
+        cases = (
+            (raw_target.whole(b'{}'), True),
+            (_refusal(409), False),
+            (b'', False),
+        )
+        for raw, is_taken in cases:
+            with self.subTest(raw=raw):
+                address = await self.start(raw_target.answering(raw))
+                for number in (1, 2):
+                    taken = await self.client.grant(address, [])
+                    self.assertEqual(taken, is_taken)
+                    self.assertEqual(len(self.target.seen), number)
+
+
 class KeptTest(ClientCase):
     """Which answers leave their connection for the next request."""
 
@@ -309,6 +349,10 @@
         self.assertEqual(third.body, b'own')
 
 
+def _refusal(status: int) -> bytes:
+    return b'HTTP/1.1 %d No\r\ncontent-length: 0\r\n\r\n' % status
+
+
 def _ok(rest: bytes) -> bytes:
     return b'HTTP/1.1 200 OK\r\n%s' % rest
 
