A cut answer to a grant counts as no answer

A body that ended early, or a chunk without a size, raised out of the first product's client of targets instead of counting as a grant that was not taken, since it caught fewer errors than the sender of requests. It catches the same ones now.

Before: test_answers 'asyncio.exceptions.IncompleteReadError: 1 bytes read on a total of 2 expected bytes' and 'ValueError: invalid literal for int() with base 16: b'odd''.

--- a/src/bilberryglade/_targets/client.py
+++ b/src/bilberryglade/_targets/client.py
@@ -3,7 +3,7 @@
 import time
 import typing
 
-from aiosonic import exceptions, timeout
+from aiosonic import timeout
 
 from bilberryglade._codec import codec
 from bilberryglade._targets import answers, connections, sender
@@ -101,7 +101,7 @@
                 timeouts=limits,
             )
             await response.content()
-        except (exceptions.AiosonicError, exceptions.BaseTimeout, OSError):
+        except BROKEN_EXCHANGE:
             return False
         return bool(response.status_code == OK_STATUS)
 
--- a/src/bilberryglade/_targets/tests/test_client.py
+++ b/src/bilberryglade/_targets/tests/test_client.py
@@ -254,6 +254,9 @@
             (raw_target.whole(b'{}'), True),
             (_refusal(409), False),
             (b'', False),
+            (raw_target.whole(b'{}')[:-1], False),
+            (_ok(b'transfer-encoding: chunked\r\n\r\nodd\r\n'), False),
+            (b'odd\r\n', False),
         )
         for raw, is_taken in cases:
             with self.subTest(raw=raw):
