A conditional append counts only by the offset it asked for

The store's answers bear nothing of their call. By the protocol none can be late (a channel on which a response is lost returns nothing further), so this is a bound on the harm, not a fault seen: a claim of the coordinator's lease took any 200 for its own. An append on the condition that the topic ends at N is put at N, so an answer with another offset is unclear now, told in a line, and the next call goes over a new connection.

Before: test_answer_to_another_append_confirms_nothing 'AssertionError: Ok(7) != Err(<Failure.unclear: 'unclear'>)'.

--- a/src/bilberryglade/platform/store.py
+++ b/src/bilberryglade/platform/store.py
@@ -5,6 +5,7 @@
 import typing
 from urllib import parse as urls
 
+import loguru
 import result
 
 from bilberryglade._codec import codec
@@ -46,8 +47,8 @@
         self.address = address
         self.http = http
         self.calls = 0
-        #: Whether the last call had no answer: connections that are kept may
-        #: have fallen silent with its own.
+        #: Whether the last call had no answer of its own: connections that are
+        #: kept may have fallen silent, or out of step, with its own.
         self.is_doubted = False
 
     async def append(
@@ -75,7 +76,16 @@
         decoded = codec.decode_json(answer.ok_value, provider.AppendAnswer)
         if isinstance(decoded, result.Err):
             return result.Err(stored.Failure.unclear)
-        return result.Ok(decoded.ok_value['offset'])
+        offset = decoded.ok_value['offset']
+        if condition.end not in {None, offset}:
+            self.is_doubted = True
+            loguru.logger.warning(
+                'store answered to another append: {} not {}',
+                offset,
+                condition.end,
+            )
+            return result.Err(stored.Failure.unclear)
+        return result.Ok(offset)
 
     async def fence(
         self,
--- a/src/bilberryglade/platform/tests/test_store.py
+++ b/src/bilberryglade/platform/tests/test_store.py
@@ -5,6 +5,7 @@
 
 import result
 
+from bilberryglade._targets.tests import raw_target
 from bilberryglade._values import outcomes, stored
 from bilberryglade.platform import store
 from bilberryglade.platform.tests import servers
@@ -51,6 +52,21 @@
         self.assertEqual(first, result.Ok(0))
         self.assertEqual(second, result.Err(stored.Failure.conflict))
 
+    async def test_answer_to_another_append_confirms_nothing(self) -> None:
+        """Where the topic was to end is where the record must be."""
+        answer = raw_target.whole(b'{"offset": 7, "end": 8}')
+        target = raw_target.RawTarget(raw_target.answering(answer, ends=False))
+        self.addAsyncCleanup(target.stop)
+        client = store.StoreClient(await target.start(), self.store.http)
+        unclear = result.Err(stored.Failure.unclear)
+        for end, meant in ((7, result.Ok(7)), (8, unclear), (6, unclear)):
+            with self.subTest(end=end):
+                condition = stored.Condition(end=end)
+                given = await client.append(TOPIC, 'a', b'1', condition)
+                self.assertEqual(given, meant)
+        await client.append(TOPIC, 'a', b'1')
+        self.assertEqual(target.connections, 3)
+
     async def test_writers_are_fenced(self) -> None:
         """A higher epoch ends the appends of lower ones."""
         old = stored.Condition(writer='w', epoch=1, sequence=1)
