No new connection is made for a call that was already sent

When a kept connection dropped under GET, PUT or DELETE, the library made a new one to send the call again; the guard stopped the bytes, but not the connection. Each such drop cost a connection at the target (they are priced and few) and up to the 0.3 s of a connection that is not made, before the caller's next try could begin.

Before: test_kept_connection_breaks_under_a_call 'AssertionError: 2 != 1' in all three cases (closed, reset, half closed).

--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -86,6 +86,17 @@
         is_fit = bool(super().reuse(urlparsed, verify))
         return is_fit and not self._has_news()
 
+    async def connect(
+        self,
+        *to: typing.Any,
+        **how: typing.Any,
+    ) -> None:
+        """Connects for an exchange of which nothing was sent yet."""
+        exchange = current.get()
+        if exchange is not None and exchange.is_sent:
+            raise SentTwiceError
+        await super().connect(*to, **how)
+
     def write(self, data: bytes) -> None:  # noqa: WPS110
         """Writes for the current exchange, over one connection only."""
         exchange = current.get()
--- a/src/bilberryglade/_targets/tests/test_phases_of_a_send.py
+++ b/src/bilberryglade/_targets/tests/test_phases_of_a_send.py
@@ -139,6 +139,15 @@
                 self.assertEqual(given, meant)
                 self.assertEqual(self.connections, 1)
 
+    async def test_kept_connection_breaks_under_a_call(self) -> None:
+        """The call is not sent again, over whatever connection."""
+        for second in (_close_after_call, _reset_after_head, _half_close):
+            with self.subTest(second=second.__name__):
+                await self.start(_after_an_answer(second))
+                self.assertIsInstance(await self.send(), outcomes.Answered)
+                self.assertEqual(await self.send(), LOST)
+                self.assertEqual(self.connections, 1)
+
     async def test_target_is_gone_when_the_call_would_be_sent_again(
         self,
     ) -> None:
