Grants and looks at targets end in time though their answer does not

The bound on a grant and on a look at a target's health held until the head of the answer; a chunked body that never ended was read for ever, and no further grant went to that target from there. The bound covers the body now.

Before: test_given_up_in_time 'TimeoutError' after twice the bound, chunked answer.

--- a/src/bilberryglade/_targets/client.py
+++ b/src/bilberryglade/_targets/client.py
@@ -1,5 +1,6 @@
 """HTTP towards targets: one request, one attempt, one outcome."""
 
+import asyncio
 import time
 import typing
 
@@ -95,12 +96,13 @@
             request_timeout=GRANT_SECONDS,
         )
         try:
-            response = await self.granting.put(
-                f'http://{address}/-/grants',
-                data=codec.encode_json(batch),
-                timeouts=limits,
-            )
-            await response.content()
+            async with asyncio.timeout(GRANT_SECONDS):
+                response = await self.granting.put(
+                    f'http://{address}/-/grants',
+                    data=codec.encode_json(batch),
+                    timeouts=limits,
+                )
+                await response.content()
         except BROKEN_EXCHANGE:
             return False
         return bool(response.status_code == OK_STATUS)
@@ -116,11 +118,12 @@
             request_timeout=HEALTH_SECONDS,
         )
         try:
-            response = await self.fresh.get(
-                f'http://{address}/-/health',
-                timeouts=limits,
-            )
-            await response.content()
+            async with asyncio.timeout(HEALTH_SECONDS):
+                response = await self.fresh.get(
+                    f'http://{address}/-/health',
+                    timeouts=limits,
+                )
+                await response.content()
         except ConnectionRefusedError:
             return True
         except BROKEN_EXCHANGE:
--- a/src/bilberryglade/_targets/tests/test_client.py
+++ b/src/bilberryglade/_targets/tests/test_client.py
@@ -267,6 +267,23 @@
                     self.assertEqual(len(self.target.seen), number)
 
 
+class UnendingAnswerTest(ClientCase):
+    """Answers to grants and looks that begin and never end."""
+
+    async def test_given_up_in_time(self) -> None:
+        """Neither a grant nor a look waits longer than its bound."""
+        chunked = _ok(b'transfer-encoding: chunked\r\n\r\n')
+        for raw in (chunked, _ok(b'content-length: 5\r\n\r\n'), _ok(b'x: 1')):
+            with self.subTest(raw=raw):
+                address = await self.start(
+                    raw_target.answering(raw, ends=False)
+                )
+                async with asyncio.timeout(client.GRANT_SECONDS * 2):
+                    self.assertFalse(await self.client.grant(address, []))
+                async with asyncio.timeout(client.HEALTH_SECONDS * 2):
+                    self.assertFalse(await self.client.has_fallen(address))
+
+
 class KeptTest(ClientCase):
     """Which answers leave their connection for the next request."""
 
