--- a/src/bilberryglade/_targets/client.py
+++ b/src/bilberryglade/_targets/client.py
@@ -1,9 +1,10 @@
 """HTTP towards targets: one request, one attempt, one outcome."""
 
+import asyncio
 import time
 import typing
 
-from aiosonic import exceptions, timeout
+from aiosonic import timeout
 
 from bilberryglade._codec import codec
 from bilberryglade._targets import answers, connections, sender
@@ -48,6 +49,10 @@
         self.sender = sender.Sender(limits.connections, limits.answer_bytes)
         self.kept = self.sender.kept
         self.fresh = self.sender.fresh
+        #: Nothing that was asked before can be answered on one of these.
+        self.granting = connections.http_client(
+            connections.FreshConnection, limits.connections
+        )
         #: Monotonic seconds until which kept connections are distrusted.
         self.silent_until: dict[str, float] = {}
 
@@ -91,13 +96,14 @@
             request_timeout=GRANT_SECONDS,
         )
         try:
-            response = await self.kept.put(
-                f'http://{address}/-/grants',
-                data=codec.encode_json(batch),
-                timeouts=limits,
-            )
-            await response.content()
-        except (exceptions.AiosonicError, exceptions.BaseTimeout, OSError):
+            async with asyncio.timeout(GRANT_SECONDS):
+                response = await self.granting.put(
+                    f'http://{address}/-/grants',
+                    data=codec.encode_json(batch),
+                    timeouts=limits,
+                )
+                await response.content()
+        except BROKEN_EXCHANGE:
             return False
         return bool(response.status_code == OK_STATUS)
 
@@ -112,11 +118,12 @@
             request_timeout=HEALTH_SECONDS,
         )
         try:
-            response = await self.fresh.get(
-                f'http://{address}/-/health',
-                timeouts=limits,
-            )
-            await response.content()
+            async with asyncio.timeout(HEALTH_SECONDS):
+                response = await self.fresh.get(
+                    f'http://{address}/-/health',
+                    timeouts=limits,
+                )
+                await response.content()
         except ConnectionRefusedError:
             return True
         except BROKEN_EXCHANGE:
@@ -126,6 +133,7 @@
     async def close(self) -> None:
         """Closes every connection."""
         await self.sender.close()
+        await self.granting.aclose()
 
     async def _attempt(
         self,
--- a/src/bilberryglade/_targets/tests/test_client.py
+++ b/src/bilberryglade/_targets/tests/test_client.py
@@ -224,6 +224,66 @@
         self.assertEqual(self.target.connections, 2)
 
 
+class GrantTest(ClientCase):
+    """What counts as a grant that a target took."""
+
+    async def test_answer_to_an_earlier_request_confirms_no_grant(self) -> None:
+        """A target writes one once more where a grant's answer is due."""
+        carried: list[asyncio.StreamWriter] = []
+
+        async def behave(  # noqa: WPS430
+            target: raw_target.RawTarget,
+            writer: asyncio.StreamWriter,
+            number: int,
+        ) -> bool:
+            is_grant = target.seen[-1].startswith(b'PUT /-/grants ')
+            if is_grant and writer not in carried:
+                writer.write(_refusal(409))
+                return True
+            carried.append(writer)
+            writer.write(raw_target.whole(b'own'))
+            return True
+
+        address = await self.start(behave)
+        await self.run_one(address, 'GET', repeatable=True)
+        self.assertFalse(await self.client.grant(address, []))
+
+    async def test_answers(self) -> None:
+        """Only a success counts, and each grant goes out once."""
+        cases = (
+            (raw_target.whole(b'{}'), True),
+            (_refusal(409), False),
+            (b'', False),
+            (raw_target.whole(b'{}')[:-1], False),
+            (_ok(b'transfer-encoding: chunked\r\n\r\nodd\r\n'), False),
+            (b'odd\r\n', False),
+        )
+        for raw, is_taken in cases:
+            with self.subTest(raw=raw):
+                address = await self.start(raw_target.answering(raw))
+                for number in (1, 2):
+                    taken = await self.client.grant(address, [])
+                    self.assertEqual(taken, is_taken)
+                    self.assertEqual(len(self.target.seen), number)
+
+
+class UnendingAnswerTest(ClientCase):
+    """Answers to grants and looks that begin and never end."""
+
+    async def test_given_up_in_time(self) -> None:
+        """Neither a grant nor a look waits longer than its bound."""
+        chunked = _ok(b'transfer-encoding: chunked\r\n\r\n')
+        for raw in (chunked, _ok(b'content-length: 5\r\n\r\n'), _ok(b'x: 1')):
+            with self.subTest(raw=raw):
+                address = await self.start(
+                    raw_target.answering(raw, ends=False)
+                )
+                async with asyncio.timeout(client.GRANT_SECONDS * 2):
+                    self.assertFalse(await self.client.grant(address, []))
+                async with asyncio.timeout(client.HEALTH_SECONDS * 2):
+                    self.assertFalse(await self.client.has_fallen(address))
+
+
 class KeptTest(ClientCase):
     """Which answers leave their connection for the next request."""
 
@@ -309,6 +369,10 @@
         self.assertEqual(third.body, b'own')
 
 
+def _refusal(status: int) -> bytes:
+    return b'HTTP/1.1 %d No\r\ncontent-length: 0\r\n\r\n' % status
+
+
 def _ok(rest: bytes) -> bytes:
     return b'HTTP/1.1 200 OK\r\n%s' % rest
 
