Nothing is sent after the time of its call

A process that stands still between the start of a call and its first byte, with the connection under way, sent it as soon as it went on: timers of the loop do not count a suspension, and the connection's callback comes before theirs.

--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -13,7 +13,7 @@
 
 from bilberryglade._http import resolver
 from bilberryglade._targets import marks
-from bilberryglade._values import outcomes
+from bilberryglade._values import clock, outcomes
 
 #: Idle time after which a kept connection is closed instead of used.
 IDLE_MS: typing.Final = 2000
@@ -39,12 +39,20 @@
     """What came as the answer to a call belongs to another one."""
 
 
+class LateError(exceptions.AiosonicError):  # type: ignore[misc]
+    """The time of a call was over before its first byte went out."""
+
+
 class Exchange:
     """What one attempt has put on the wire, and what answers it."""
 
-    def __init__(self, marked: marks.Marks) -> None:
-        """Starts with nothing sent; answers to it bear `marked`."""
+    def __init__(self, marked: marks.Marks, until: float) -> None:
+        """Starts with nothing sent; answers to it bear `marked`.
+
+        After `until`, in seconds of `clock.now`, its first byte is not sent.
+        """
         self.marked = marked
+        self.until = until
         #: The stream that carries the request; None before the first byte.
         self.writer: object = None
 
@@ -103,6 +111,8 @@
         if exchange is not None:
             if exchange.is_sent and exchange.writer is not self.writer:
                 raise SentTwiceError
+            if not exchange.is_sent and clock.now() > exchange.until:
+                raise LateError
             exchange.writer = self.writer
         super().write(data)
 
--- a/src/bilberryglade/_targets/sender.py
+++ b/src/bilberryglade/_targets/sender.py
@@ -10,7 +10,7 @@
 from aiosonic import exceptions, timeout
 
 from bilberryglade._targets import answers, connections, marks
-from bilberryglade._values import outcomes
+from bilberryglade._values import clock, outcomes
 
 #: Seconds for a new connection; targets of the fleet are milliseconds away.
 CONNECT_SECONDS: typing.Final = 0.3
@@ -96,7 +96,7 @@
     ) -> outcomes.Outcome:
         http = self.fresh if on_fresh else self.kept
         deadline = time.monotonic() + call.seconds
-        exchange = connections.Exchange(call.marked)
+        exchange = connections.Exchange(call.marked, clock.now() + call.seconds)
         connections.current.set(exchange)
         try:
             response = await http.request(
