An order's answer with an odd status ends its connection

A grant that was answered 201, 204 or 302 was unclear, but its connection was kept, though targets answer orders with 200 or a refusal: what else comes shows that the connection is out of step, or leads to something else. A call names the statuses of its answers now, beside the headers, and the connection is closed as for any foreign answer.

Before: test_odd_status_ends_the_connection_of_grants 'AssertionError: 1 != 2' for each.

--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -72,6 +72,8 @@
         self.reads_headers = False
         #: Bytes of the head that is being read.
         self.head_size = 0
+        #: Status line of the answer that is being read.
+        self.status_line = b''
         #: Header lines of the answer that is being read.
         self.head: list[bytes] = []
         #: Framing headers of the answer that is being read.
@@ -112,7 +114,8 @@
         self.head_size = 0
         self.head = []
         self.framing = set()
-        return bytes(await super().readuntil(separator))
+        self.status_line = bytes(await super().readuntil(separator))
+        return self.status_line
 
     async def readline(self) -> bytes:
         """Reads a whole line; the end of the stream is no line."""
@@ -167,7 +170,9 @@
         exchange = current.get()
         if exchange is None:
             return
-        if marks.are_own(exchange.marked, tuple(map(_header_of, self.head))):
+        headers = tuple(map(_header_of, self.head))
+        status = _status_of(self.status_line)
+        if marks.are_own(exchange.marked, status, headers):
             return
         self.close()
         raise ForeignAnswerError
@@ -196,6 +201,12 @@
         self.keep = False
 
 
+def _status_of(line: bytes) -> int:
+    """Returns the status in a line that the library took in, 0 if odd."""
+    status = line.split(b' ', 2)[1].strip()
+    return int(status) if status.isdigit() else 0
+
+
 def _header_of(line: bytes) -> outcomes.Header:
     """Returns a header line as the library reads it."""
     name, _, text = line.decode().partition(':')
--- a/src/bilberryglade/_targets/tests/test_marks.py
+++ b/src/bilberryglade/_targets/tests/test_marks.py
@@ -36,4 +36,12 @@
         )
         for name, marked, headers, is_own in cases:
             with self.subTest(name=name):
-                self.assertEqual(marks.are_own(marked, headers), is_own)
+                self.assertEqual(marks.are_own(marked, 200, headers), is_own)
+
+    def test_statuses(self) -> None:
+        """Those named count; where none is, all do."""
+        strict = marks.Marks(statuses=frozenset((200, 409)))
+        for status, is_own in ((200, True), (409, True), (204, False)):
+            with self.subTest(status=status):
+                self.assertEqual(marks.are_own(strict, status, ()), is_own)
+                self.assertTrue(marks.are_own(marks.Marks(), status, ()))
--- a/src/bilberryglade/platform/exchange.py
+++ b/src/bilberryglade/platform/exchange.py
@@ -57,7 +57,7 @@
     whatever it says: the request may run, and nothing is known of the load.
     A success without the target's mark or with an encoded body is no answer.
     """
-    if not marks.are_own(marked(request_id), answer.headers):
+    if not marks.are_own(marked(request_id), answer.status, answer.headers):
         return sends.Sent(outcomes.Unknown(outcomes.Reason.answer_lost))
     report = report_of(headers.find(answer.headers, headers.LOAD))
     if answer.status == MISDIRECTED_STATUS:
--- a/src/bilberryglade/platform/orders.py
+++ b/src/bilberryglade/platform/orders.py
@@ -1,5 +1,6 @@
 """Orders to targets: leases on ranges of keys, given and taken back."""
 
+import http
 import typing
 
 import loguru
@@ -14,16 +15,24 @@
 GRANT_SECONDS: typing.Final = 0.5
 OK_STATUS: typing.Final = 200
 CONFLICT_STATUS: typing.Final = 409
-#: Status from which an answer says that an order was not taken.
-REFUSED_STATUS: typing.Final = 400
+#: An order is answered with success or a refusal.
+STATUSES: typing.Final = frozenset(
+    status.value
+    for status in http.HTTPStatus
+    if status == OK_STATUS or status >= http.HTTPStatus.BAD_REQUEST
+)
 JSON_BODY: typing.Final = {'content-type': 'application/json'}  # noqa: WPS407
 #: Targets echo nothing of an order. A request's id is on answers to requests,
 #: a handover on answers to releases.
 MARKS: typing.Final[dict[str, marks.Marks]] = {  # noqa: WPS407
     'grant': marks.Marks(
         foreign=frozenset((headers.REQUEST_ID, headers.HANDOVER)),
+        statuses=STATUSES,
+    ),
+    'release': marks.Marks(
+        foreign=frozenset((headers.REQUEST_ID,)),
+        statuses=STATUSES,
     ),
-    'release': marks.Marks(foreign=frozenset((headers.REQUEST_ID,))),
     'reach': marks.Marks(
         foreign=frozenset((headers.REQUEST_ID, headers.HANDOVER)),
     ),
@@ -35,9 +44,9 @@
 class Orders:
     """Gives orders to targets, and confirms what is surely their answer."""
 
-    def __init__(self, http: sender.Sender) -> None:
-        """Sends through `http`, whose connections carry orders alone."""
-        self.http = http
+    def __init__(self, connections: sender.Sender) -> None:
+        """Sends over `connections`, which carry orders alone."""
+        self.connections = connections
 
     async def grant(
         self,
@@ -94,7 +103,7 @@
             seconds=GRANT_SECONDS,
             marked=MARKS['reach'],
         )
-        outcome = await self.http.send(call, on_fresh=True)
+        outcome = await self.connections.send(call, on_fresh=True)
         if not isinstance(outcome, outcomes.Answered):
             return False
         named = headers.find(outcome.headers, headers.ANSWERING_TARGET)
@@ -118,7 +127,7 @@
             seconds=seconds,
             marked=MARKS[name],
         )
-        outcome = await self.http.send(call, on_fresh=on_fresh)
+        outcome = await self.connections.send(call, on_fresh=on_fresh)
         if isinstance(outcome, outcomes.NotRun):
             return result.Err(leases.Failure.unreachable)
         if isinstance(outcome, outcomes.Unknown):
@@ -127,9 +136,7 @@
             return result.Ok(outcome)
         if outcome.status == CONFLICT_STATUS:
             return result.Err(leases.Failure.fenced)
-        if outcome.status >= REFUSED_STATUS:
-            return result.Err(leases.Failure.rejected)
-        return _unclear(target, f'{name} answered {outcome.status}')
+        return result.Err(leases.Failure.rejected)
 
 
 def _handover(
@@ -139,13 +146,8 @@
     """Returns the word by which an answer is known to be a release's."""
     words = headers.all_of(answer.headers, headers.HANDOVER)
     if len(words) != 1:
-        return _unclear(target, f'release answered with {len(words)} handovers')
+        loguru.logger.warning(
+            'release at {} answered with {} handovers', target.name, len(words)
+        )
+        return result.Err(leases.Failure.unclear)
     return result.Ok(words[0])
-
-
-def _unclear(
-    target: leases.Holder,
-    what: str,
-) -> result.Err[leases.Failure]:
-    loguru.logger.warning('odd answer of {}: {}', target.name, what)
-    return result.Err(leases.Failure.unclear)
--- a/src/bilberryglade/platform/tests/test_orders.py
+++ b/src/bilberryglade/platform/tests/test_orders.py
@@ -75,6 +75,7 @@
             (written(421), REJECTED),
             (written(503, REFUSED), UNCLEAR),
             (written(200)[:-1], UNCLEAR),
+            (written(200).replace(b'200', b'200x'), UNCLEAR),
         )
         for raw, meant in cases:
             with self.subTest(raw=raw):
@@ -126,6 +127,15 @@
                 self.assertEqual(await self.grant(), result.Ok(None))
                 self.assertEqual(self.target.connections, 2)
 
+    async def test_odd_status_ends_the_connection_of_grants(self) -> None:
+        """Whatever it answers, the next grant starts anew."""
+        for status in (201, 204, 302):
+            with self.subTest(status=status):
+                await self.start(written(status), written(200))
+                self.assertEqual(await self.grant(), UNCLEAR)
+                self.assertEqual(await self.grant(), result.Ok(None))
+                self.assertEqual(self.target.connections, 2)
+
     async def test_bytes_after_a_grant_end_its_connection(self) -> None:
         """The next grant is not confirmed by them."""
         await self.start(written(200) + written(200), written(409))
