Records keep the tables of services that are not configured

A record of tables named only services that the configuration in force has. One that left lost its table and its holders; a coordinator that was new when it came back granted its keys at once, while earlier owners might hold them (OWNER). One that had just started and read no configuration yet wrote a record without any table as soon as some range needed a new fence.

Tables that are wanted begin with those that stand; only services that are configured are planned and ordered.

--- a/src/bilberryglade/_ownership/candidates.py
+++ b/src/bilberryglade/_ownership/candidates.py
@@ -119,5 +119,12 @@
         return found
 
 
+def lives_of(
+    targets: abc.Iterable[directory.Target],
+) -> frozenset[ranges.Owner]:
+    """Returns the lives that targets are in."""
+    return frozenset(map(order_addresses.owner_of, targets))
+
+
 def _place(target: directory.Target) -> tuple[str, str]:
     return (target.failure_domain, target.name)
--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -18,11 +18,11 @@
     candidates,
     key_loads,
     lessor,
-    order_addresses,
     owners,
     planning,
     ranges,
     table_news,
+    table_record,
 )
 from bilberryglade._targets import directory
 from bilberryglade._values import clock, stored
@@ -169,10 +169,12 @@
         if isinstance(end, result.Err) or end.ok_value < fenced.ok_value:
             await asyncio.sleep(RETRY_SECONDS)
             return
+        # The last renewal of an owner may still be on its way.
+        longest = self.lessor.longest_lease + orders.GRANT_SECONDS
         self.lessor.begin(
             {
                 service: (
-                    *map(self._owning, entries),
+                    *(owners.Former(owned.entry, longest) for owned in entries),
                     *owners.former_of(self.former.get(service)),
                 )
                 for service, entries in self.tables.services.items()
@@ -194,13 +196,22 @@
         wanted = self._wanted(clock.now())
         if wanted is not None and not await self._publish(wanted):
             return
-        self.lessor.start_orders(self.tables)
+        self.lessor.start_orders(self._configured())
         self.lessor.reach.look(
             self.lessor.target_of, self.candidates.health_path
         )
         self._mark_granted(clock.now())
         self.news.tell(self.tables)
 
+    def _configured(self) -> owners.Tables:
+        """Returns the tables of services whose keys have owners now."""
+        services = {
+            service: self.tables.services[service]
+            for service in self.candidates.services()
+            if service in self.tables.services
+        }
+        return self.tables._replace(services=services)
+
     def _wanted(self, now: float) -> Wanted | None:
         """Returns the tables that are wanted, or None if these are."""
         balances = (
@@ -212,15 +223,17 @@
         looks = balances or now - self.looked_at > LOOK_SECONDS
         if looks:
             self.looked_at = now
-        wanted: Wanted = {}
+        # A record without a service would hide who may hold its keys.
+        wanted: Wanted = {
+            service: self._refenced(service) for service in self.tables.services
+        }
         is_changed = bool(self.lessor.fenced)
         for service in self.candidates.services():
             targets = self.candidates.targets(
                 service, owners.owners_of(self.tables, service), now
             )
-            lives = frozenset(map(order_addresses.owner_of, targets))
+            lives = candidates.lives_of(targets)
             if not looks and lives == self.planned.get(service):
-                wanted[service] = self._refenced(service)
                 continue
             self.planned[service] = lives
             planned = self._plan(service, targets, may_balance=balances)
@@ -290,36 +303,17 @@
         return False
 
     def _record(self, wanted: Wanted) -> messages.Assignment:
-        known = {
-            (service, owned.entry): owned.is_moving
-            for service, entries in self.tables.services.items()
-            for owned in entries
-        }
-        services = {
-            service: tuple(
-                owners.Owned(
-                    entry, known.get((service, entry), ranges.is_new(entry))
-                )
-                for entry in table
-            )
+        former = {
+            service: self.lessor.former(service, table)
             for service, table in wanted.items()
         }
-        addresses = self.lessor.addresses.all()
-        message = owners.to_message(
-            owners.Tables(0, 0, services), self.members.own.name, addresses
+        return table_record.written(
+            wanted,
+            self.tables,
+            former,
+            self.lessor.addresses.all(),
+            self.members.own.name,
         )
-        message['former'] = {
-            service: owners.to_former_table(
-                self.lessor.former(service, table), addresses
-            )
-            for service, table in wanted.items()
-        }
-        return message
-
-    def _owning(self, owned: owners.Owned) -> owners.Former:
-        """Returns an owner, whose last renewal may still be on its way."""
-        seconds = self.lessor.longest_lease + orders.GRANT_SECONDS
-        return owners.Former(owned.entry, seconds)
 
     def _put_in_force(self, message: messages.Assignment, offset: int) -> None:
         before = owners.slots(self.tables)
--- a/src/bilberryglade/_ownership/tests/test_steward.py
+++ b/src/bilberryglade/_ownership/tests/test_steward.py
@@ -138,6 +138,60 @@
                 )
 
 
+class LeavingServiceTests(StewardCase):
+    """Services that the configuration does not name for a while."""
+
+    async def asyncSetUp(self) -> None:
+        """Two services have tables; targets of both hold their keys."""
+        await super().asyncSetUp()
+        self.services = {
+            name: catalogue.Service(name, True, 0, 0) for name in ('r', 's')
+        }
+        other = samples.target(name='u', service='r', offset=3)
+        listed = directory.put(self.known.directory, other)
+        self.known = self.known._replace(directory=listed)
+        self.configure(mock.Mock(services=self.services))
+        await self.rounds(2)
+        self.leasing = self.steward.lessor
+        tables = self.steward.tables.services
+        owned = tables['r'][0]
+        self.leasing.holds['r'] = holds.ordered(
+            (), owned.entry, clock.now() + 3
+        )
+
+    def configure(self, configuration: typing.Any) -> None:
+        """Puts a configuration in force."""
+        self.known = self.known._replace(catalogue=configuration)
+        self.steward.reader.known = self.known
+
+    async def refence(self) -> None:
+        """Makes the coordinator write a record."""
+        self.leasing.fenced = {
+            ('s', owned.entry) for owned in self.steward.tables.services['s']
+        }
+        await self.rounds(1)
+
+    async def test_leases_of_a_service_that_left_stand_in_the_record(
+        self,
+    ) -> None:
+        """A successor waits for them when the service comes back."""
+        self.configure(mock.Mock(services={'s': self.services['s']}))
+        await self.refence()
+        self.lease.renew()
+        self.steward.term = -1
+        await self.rounds(1)
+        held = self.leasing.holds.get('r', ())
+        self.assertEqual([hold.owner.target for hold in held], ['u'])
+
+    async def test_tables_stand_while_no_configuration_is_known(self) -> None:
+        """An instance that has just started may coordinate without one."""
+        before = await self.stored()
+        self.configure(None)
+        await self.refence()
+        after = await self.stored()
+        self.assertEqual(after.services.keys(), before.services.keys())
+
+
 class EpochTests(StewardCase):
     """Writes after a conflict, in the same term."""
 
