Bytes that are nested too deeply are a value, not an error that ends a loop

An entry of another writer with an unknown field nested 60,000 deep raised RecursionError out of `codec.decode_json`, so out of the fold of the targets' entries, and the process ended: "broken invariant". The same from an instance's relay, and from MessagePack.

The codec is now the one place that turns all that reading may raise into `DecodeError`: recursion, overflow, memory, text that is no Unicode. YAML is looked through by its events first: no aliases, a bounded depth, no endless numbers. Maps of unknown fields have a bounded depth, so that code may recur over them. A type that nothing can be read into still raises.

--- a/src/bilberryglade/_admin/decoding.py
+++ b/src/bilberryglade/_admin/decoding.py
@@ -74,7 +74,7 @@
 def _object(body: bytes) -> Decoded:
     if not body:
         return result.Ok({})
-    return codec.decode_json(body, dict[str, typing.Any]).map_err(
+    return codec.decode_open_json(body).map_err(
         lambda error: _invalid('', error.detail),
     )
 
--- a/src/bilberryglade/_codec/codec.py
+++ b/src/bilberryglade/_codec/codec.py
@@ -1,12 +1,39 @@
-"""JSON, YAML and MessagePack by `msgspec`, checked against generated types."""
+"""JSON, YAML and MessagePack by `msgspec`, checked against generated types.
+
+Whatever is wrong with bytes that somebody else wrote is a `DecodeError`: too
+deep, too large, cut short, or no text. Only an unsound type is a broken
+invariant and raises.
+"""
 
 import typing
+from collections import abc
 
 import msgspec
 import result
+import yaml
 
 Message = typing.TypeVar('Message')
 
+#: All that reading foreign bytes may raise.
+UNREADABLE: typing.Final = (
+    msgspec.MsgspecError,
+    yaml.YAMLError,
+    # Also of text that is no Unicode, and of integers with too many digits.
+    ValueError,
+    OverflowError,
+    RecursionError,
+    MemoryError,
+)
+#: Characters of an error that are kept; it may quote what it is about.
+DETAIL_CHARACTERS: typing.Final = 300
+#: Maps and lists inside one another in a message whose fields are not known
+#: beforehand: several times what any schema here has, and so few that code may
+#: recur over them.
+MOST_DEPTH: typing.Final = 50
+#: Characters of a YAML scalar without quotes: a number of this length can
+#: still be written out.
+MOST_PLAIN_CHARACTERS: typing.Final = 3000
+
 
 class DecodeError(typing.NamedTuple):
     """Bytes that are not the message they should be."""
@@ -30,10 +57,17 @@
     kind: type[Message],
 ) -> result.Result[Message, DecodeError]:
     """Decodes JSON into `kind`."""
-    try:
-        return result.Ok(msgspec.json.decode(raw, type=kind))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return result.Err(DecodeError(str(error)))
+    return attempt(lambda: msgspec.json.decode(raw, type=kind))
+
+
+def decode_open_json(
+    raw: bytes,
+) -> result.Result[dict[str, typing.Any], DecodeError]:
+    """Decodes a JSON map whose fields are not known beforehand.
+
+    It is at most `MOST_DEPTH` deep.
+    """
+    return decode_json(raw, dict[str, typing.Any]).and_then(_shallow)
 
 
 def decode_packed(
@@ -41,21 +75,22 @@
     kind: type[Message],
 ) -> result.Result[Message, DecodeError]:
     """Decodes MessagePack into `kind`."""
-    try:
-        return result.Ok(msgspec.msgpack.decode(raw, type=kind))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return result.Err(DecodeError(str(error)))
+    return attempt(lambda: msgspec.msgpack.decode(raw, type=kind))
 
 
 def decode_yaml(
     raw: bytes,
     kind: type[Message],
 ) -> result.Result[Message, DecodeError]:
-    """Decodes YAML into `kind`."""
-    try:
-        return result.Ok(msgspec.yaml.decode(raw, type=kind))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return result.Err(DecodeError(str(error)))
+    """Decodes YAML into `kind`.
+
+    It has no aliases, which can stand for far more than the bytes they take,
+    and is at most `MOST_DEPTH` deep.
+    """
+    checked = attempt(lambda: _checked_yaml(raw))
+    if isinstance(checked, result.Err):
+        return checked
+    return attempt(lambda: msgspec.yaml.decode(raw, type=kind))
 
 
 def convert(
@@ -63,7 +98,55 @@
     kind: type[Message],
 ) -> result.Result[Message, DecodeError]:
     """Checks plain data (maps, lists, scalars) against `kind`."""
+    return attempt(lambda: msgspec.convert(plain, type=kind))
+
+
+def attempt(
+    read: abc.Callable[[], Message],
+) -> result.Result[Message, DecodeError]:
+    """Returns what `read` returns, or why the bytes it reads are unsound."""
     try:
-        return result.Ok(msgspec.convert(plain, type=kind))
-    except msgspec.ValidationError as error:
-        return result.Err(DecodeError(str(error)))
+        return result.Ok(read())
+    except UNREADABLE as error:
+        return result.Err(DecodeError(str(error)[:DETAIL_CHARACTERS]))
+
+
+def _checked_yaml(raw: bytes) -> None:
+    depth = 0
+    for event in yaml.parse(raw, yaml.SafeLoader):
+        if isinstance(event, yaml.AliasEvent):
+            raise ValueError(f'aliases are not taken, {_place(event)}')
+        if isinstance(event, yaml.CollectionStartEvent):
+            depth += 1
+        if isinstance(event, yaml.CollectionEndEvent):
+            depth -= 1
+        if depth > MOST_DEPTH or _is_long(event):
+            raise ValueError(f'too deep or too long, {_place(event)}')
+
+
+def _is_long(event: yaml.Event) -> bool:
+    if not isinstance(event, yaml.ScalarEvent) or event.style:
+        return False
+    return len(event.value) > MOST_PLAIN_CHARACTERS
+
+
+def _place(event: yaml.Event) -> str:
+    mark = event.start_mark
+    return f'line {mark.line + 1}, column {mark.column + 1}' if mark else ''
+
+
+def _shallow(
+    plain: dict[str, typing.Any],
+) -> result.Result[dict[str, typing.Any], DecodeError]:
+    level: list[object] = [plain]
+    for _ in range(MOST_DEPTH):
+        level = [inner for outer in level for inner in _inner(outer)]
+        if not level:
+            return result.Ok(plain)
+    return result.Err(DecodeError('nested too deeply'))
+
+
+def _inner(outer: object) -> abc.Iterable[object]:
+    if isinstance(outer, dict):
+        return outer.values()
+    return outer if isinstance(outer, list) else ()
--- a/src/bilberryglade/_codec/values.py
+++ b/src/bilberryglade/_codec/values.py
@@ -26,12 +26,9 @@
     kind: type[Value],
 ) -> result.Result[Value, codec.DecodeError]:
     """Decodes MessagePack into the value type `kind`."""
-    try:
-        return result.Ok(
-            msgspec.msgpack.decode(raw, type=kind, dec_hook=_restored),
-        )
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return result.Err(codec.DecodeError(str(error)))
+    return codec.attempt(
+        lambda: msgspec.msgpack.decode(raw, type=kind, dec_hook=_restored),
+    )
 
 
 def _plain(value: typing.Any) -> typing.Any:
--- a/src/bilberryglade/_observability/histories.py
+++ b/src/bilberryglade/_observability/histories.py
@@ -52,7 +52,7 @@
     start = text.find('{')
     if start < 0:
         return None
-    decoded = codec.decode_json(text[start:].encode(), dict[str, typing.Any])
+    decoded = codec.decode_open_json(text[start:].encode())
     if isinstance(decoded, result.Err):
         return None
     fields = dict(decoded.ok_value)
