Ranges of targets' entries: an odd port or number names no target

An entry of another writer was taken for a target with port 99999, 0 or "²", with places, `seq` or `born` beyond what MessagePack carries (OverflowError when they were packed into a message or a record), and with `warmup_left` of 400 digits or "inf", cold for ever.

--- a/src/bilberryglade/_knowledge/tests/test_foreign_entries.py
+++ b/src/bilberryglade/_knowledge/tests/test_foreign_entries.py
@@ -24,6 +24,56 @@
     return whole.replace(b'"odd": 0', b'"odd": %s' % deep)
 
 
+def _with_number(field: str, number: str) -> bytes:
+    """Returns an entry with a number in place of one of its own."""
+    whole = samples.entry(**{field: 'here'})
+    return whole.replace(b'"here"', number.encode())
+
+
+#: Numbers that count nothing.
+NO_COUNTS: typing.Final = {  # noqa: WPS407
+    'of 400 digits': '9' * 400,
+    'beyond 64 bits': '18446744073709551616',
+    'beyond all readers': '9007199254740992',
+    'infinite': '1e999',
+    'negative': '-1',
+    'in parts': '1.5',
+    'as text': '"4"',
+    'null': 'null',
+}
+NO_ADDRESSES: typing.Final = (
+    '',
+    '127.0.0.1',
+    '127.0.0.1:',
+    ':80',
+    '127.0.0.1:0',
+    '127.0.0.1:65536',
+    '127.0.0.1:99999',
+    f'127.0.0.1:{"9" * 400}',
+    '127.0.0.1:-1',
+    '127.0.0.1:+80',
+    '127.0.0.1:8_0',
+    '127.0.0.1:80 ',
+    '127.0.0.1:80\n',
+    '127.0.0.1:\N{SUPERSCRIPT TWO}',
+    '127.0.0.1:\N{ARABIC-INDIC DIGIT EIGHT}0',
+    '127.0.0.256:80',
+    '127.0.1:80',
+    'host.example:80',
+    '[::1]:80',
+)
+NO_TIMES: typing.Final = (
+    'soon',
+    '5',
+    'nans',
+    'infs',
+    '-infms',
+    '1e400s',
+    f'{"9" * 400}ms',
+    '100000s',
+    '1_0s',
+    '1s\n',
+)
 #: Entries that name no target to use.
 ODD_ENTRIES: typing.Final = {  # noqa: WPS407
     'no entry': b'',
@@ -31,6 +81,21 @@
     'deep lists': _nested(b'[', b']'),
     'deep maps': _nested(b'{"a":', b'}'),
     'deep and cut': b'[' * DEPTH,
+    **{
+        f'{field} {name}': _with_number(field, number)
+        for field in ('slots', 'seq', 'born')
+        for name, number in NO_COUNTS.items()
+    },
+    'no places': _with_number('slots', '0'),
+    'too many places': _with_number('slots', '65536'),
+    **{
+        f'address {address!r}': samples.entry(address=address)
+        for address in NO_ADDRESSES
+    },
+    **{
+        f'cold for {left[:9]!r}': samples.entry(warmup_left=left)
+        for left in NO_TIMES
+    },
 }
 
 
--- a/src/bilberryglade/platform/entries.py
+++ b/src/bilberryglade/platform/entries.py
@@ -23,9 +23,6 @@
     if isinstance(decoded, result.Err):
         return result.Err(decoded.err_value.detail)
     entry = decoded.ok_value
-    host, _, port = entry['address'].rpartition(':')
-    if not host or not port.isdigit() or entry['slots'] < 1:
-        return result.Err('no address or no places')
     try:
         cold_seconds = durations.seconds_of(entry.get('warmup_left', '0ms'))
     except ValueError as wrong:
--- a/src/bilberryglade_schema/provider.py
+++ b/src/bilberryglade_schema/provider.py
@@ -2,11 +2,25 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, NotRequired, TypeAlias, TypedDict
+from typing import Annotated, Any, Literal, NotRequired, TypeAlias, TypedDict
+
+from msgspec import Meta
 
 Provider: TypeAlias = Any
 
 
+Whole: TypeAlias = Annotated[int, Meta(ge=0, le=9007199254740991)]
+
+
+Places: TypeAlias = Annotated[int, Meta(ge=1, le=65535)]
+
+
+Address: TypeAlias = Annotated[str, Meta(pattern='^((25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])\\.){3}(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9]):([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])$(?!\\n)')]
+
+
+TimeLeft: TypeAlias = Annotated[str, Meta(pattern='^-?([0-9]{1,8}(\\.[0-9]{1,20})?(e-[0-9]{1,2})?ms|[0-9]{1,5}(\\.[0-9]{1,20})?(e-[0-9]{1,2})?s)$(?!\\n)')]
+
+
 class ProcessLimits(TypedDict):
     """
     What this process may use.
@@ -154,13 +168,13 @@
     """
 
     service: str
-    address: str
+    address: Address
     zone: str
-    slots: int
+    slots: Places
     state: Literal['ready', 'draining']
-    warmup_left: NotRequired[str]
-    seq: int
-    born: NotRequired[int]
+    warmup_left: NotRequired[TimeLeft]
+    seq: Whole
+    born: NotRequired[Whole]
 
 
 class AppendAnswer(TypedDict):
