Odd records of others fill no log: a line for each key and cause, and a counter

Another writer that repeats an odd entry with each sign of life got a line for each record, at each instance, and again with each whole reading.

What was left out is part of the knowledge: a count by topic, and the causes that were told, 200 at most. `bilberryglade_records_left_out` has the counts.

--- a/src/bilberryglade/_knowledge/knowledge.py
+++ b/src/bilberryglade/_knowledge/knowledge.py
@@ -5,7 +5,7 @@
 import immutables
 import loguru
 
-from bilberryglade._knowledge import topics
+from bilberryglade._knowledge import left_out, topics
 from bilberryglade._routing import catalogue as catalogues
 from bilberryglade._targets import directory as directories
 from bilberryglade._values import stored
@@ -32,6 +32,7 @@
     ends: immutables.Map[str, int] = immutables.Map()
     #: Seconds at which each topic was read last, by anybody.
     read_at: immutables.Map[str, float] = immutables.Map()
+    omitted: left_out.LeftOut = left_out.LeftOut()
 
     def age(self, topic: str, now: float) -> float:
         """Returns for how many seconds nothing was heard of a topic."""
--- /dev/null
+++ b/src/bilberryglade/_knowledge/left_out.py
@@ -0,0 +1,48 @@
+"""Records of others of which nothing can be made: counted, and told once.
+
+Another writer may repeat an odd record with each sign of life. A cause is told
+once for each key, and so many in all.
+"""
+
+import typing
+
+import immutables
+import loguru
+
+from bilberryglade._values import stored
+
+#: Causes that are told; beyond these, records are only counted.
+MOST_TOLD: typing.Final = 200
+#: Characters of a cause; it may quote the record.
+CAUSE_CHARACTERS: typing.Final = 200
+
+
+class LeftOut(typing.NamedTuple):
+    """What was left out since the start."""
+
+    #: Records by topic, repeats included.
+    counts: immutables.Map[str, int] = immutables.Map()
+    #: Topics, keys and causes that were told.
+    told: frozenset[tuple[str, str, str]] = frozenset()
+
+
+def note(
+    known: LeftOut,
+    topic: str,
+    record: stored.Record,
+    cause: str,
+) -> LeftOut:
+    """Takes in a record that was left out, and tells of a new cause."""
+    count = known.counts.get(topic, 0) + 1
+    counted = known._replace(counts=known.counts.set(topic, count))
+    line = (topic, record.key, cause[:CAUSE_CHARACTERS])
+    if line in known.told or len(known.told) >= MOST_TOLD:
+        return counted
+    loguru.logger.warning(
+        'record {} of {} at offset {} left out: {}',
+        record.key,
+        topic,
+        record.offset,
+        line[-1],
+    )
+    return counted._replace(told=known.told | {line})
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -55,6 +55,26 @@
         return iter((messages, sizes))
 
 
+class LeftOutCounts(registry.Collector):
+    """Records of others that were left out."""
+
+    def __init__(self, reader: reading.Reader) -> None:
+        """Reads the counts of `reader`."""
+        self.reader = reader
+
+    def collect(self) -> abc.Iterator[metrics_core.Metric]:
+        """Returns the counts now."""
+        records = metrics_core.CounterMetricFamily(
+            'bilberryglade_records_left_out',
+            'Records of the store that were left out, repeats included.',
+            labels=('topic',),
+        )
+        omitted = self.reader.known.omitted
+        for topic, count in omitted.counts.items():
+            records.add_metric((topic,), count)
+        return iter((records,))
+
+
 class Exchanges:
     """Counts exchanges with callers and writes a line for each."""
 
@@ -80,6 +100,7 @@
             ('service', 'outcome', 'reason'),
             registry=self.registry,
         )
+        self.registry.register(LeftOutCounts(reader))
 
     def take(
         self,
--- a/src/bilberryglade/platform/folds.py
+++ b/src/bilberryglade/platform/folds.py
@@ -5,7 +5,7 @@
 import loguru
 import result
 
-from bilberryglade._knowledge import knowledge, topics
+from bilberryglade._knowledge import knowledge, left_out, topics
 from bilberryglade._routing import catalogue
 from bilberryglade._targets import directory
 from bilberryglade._values import stored
@@ -38,6 +38,7 @@
 ) -> knowledge.Knowledge:
     """Takes in targets' entries; what names no target is left out."""
     listed = known.directory
+    omitted = known.omitted
     keep_until: float = 0
     if reading.gap > directory.GAP_SECONDS:
         keep_until = reading.read_at + directory.RETURN_SECONDS
@@ -49,18 +50,15 @@
             continue
         decoded = entries.decode(record, reading.read_at)
         if isinstance(decoded, result.Err):
-            loguru.logger.warning(
-                'entry {} at offset {} names no target: {}',
-                record.key,
-                record.offset,
-                decoded.err_value,
+            omitted = left_out.note(
+                omitted, topics.TARGETS, record, decoded.err_value
             )
             continue
         listed = directory.put(listed, decoded.ok_value)
     if reading.batch.is_whole:
         names = frozenset(record.key for record in reading.batch.records)
         listed = directory.retain(listed, names, reading.batch.end, keep_until)
-    return known._replace(directory=listed)
+    return known._replace(directory=listed, omitted=omitted)
 
 
 def _with_configuration(
@@ -71,12 +69,10 @@
         return known
     decoded = catalogues.decode(record.payload)
     if isinstance(decoded, result.Err):
-        loguru.logger.warning(
-            'configuration at offset {} left out: {}',
-            record.offset,
-            decoded.err_value,
+        omitted = left_out.note(
+            known.omitted, topics.OPERATOR, record, decoded.err_value
         )
-        return known._replace(catalogue_offset=record.offset)
+        return known._replace(catalogue_offset=record.offset, omitted=omitted)
     loguru.logger.info(
         'configuration {} in force, offset {}',
         decoded.ok_value.version,
