A load report with an infinite figure is no load report

`X-Server-Load: inf,0,8` or `3,0,8,inf` raised OverflowError out of `report_of` while a request was served, so that its caller got a 502 for an answer that had arrived whole; negative figures were believed. Seen before the change, test_exchange test_load: "OverflowError: cannot convert float infinity to integer" (5 cases), "Report(running=-3, waiting=0, slowness=1.0) is not None".

The figures' range stands in the schema, and the codec reads numbers out of texts against it.

--- a/src/bilberryglade/_codec/codec.py
+++ b/src/bilberryglade/_codec/codec.py
@@ -101,6 +101,14 @@
     return attempt(lambda: msgspec.convert(plain, type=kind))
 
 
+def convert_texts(
+    texts: str | list[str],
+    kind: type[Message],
+) -> result.Result[Message, DecodeError]:
+    """Checks texts, as of headers, against `kind`; numbers are read."""
+    return attempt(lambda: msgspec.convert(texts, type=kind, strict=False))
+
+
 def attempt(
     read: abc.Callable[[], Message],
 ) -> result.Result[Message, DecodeError]:
--- a/src/bilberryglade/_codec/tests/test_codec.py
+++ b/src/bilberryglade/_codec/tests/test_codec.py
@@ -120,3 +120,12 @@
         """A type that nothing can be read into is a fault of this program."""
         with self.assertRaises(TypeError):
             codec.decode_json(b'{}', typing.cast(type[object], 5))
+
+    def test_texts(self) -> None:
+        """Numbers in headers are as foreign as those in messages."""
+        kind = typing.Annotated[float, msgspec.Meta(ge=0, le=100)]
+        for text in ('inf', 'nan', '-1', '1e400', '9' * 9999, 'x', '', '1_0'):
+            with self.subTest(text=text):
+                decoded = codec.convert_texts(text, kind)
+                self.assertIsInstance(decoded, result.Err)
+        self.assertEqual(codec.convert_texts('1.5', kind), result.Ok(1.5))
--- a/src/bilberryglade/platform/exchange.py
+++ b/src/bilberryglade/platform/exchange.py
@@ -2,11 +2,15 @@
 
 import typing
 
+import result
+
+from bilberryglade._codec import codec
 from bilberryglade._delivery import sends
 from bilberryglade._routing import admission
 from bilberryglade._targets import directory, sender, standing
 from bilberryglade._values import outcomes
 from bilberryglade.platform import headers
+from bilberryglade_schema import provider
 
 #: Seconds by which a target is to stop before its answer is given up.
 MARGIN_SECONDS: typing.Final = 0.03
@@ -68,15 +72,15 @@
 
 def report_of(text: str) -> standing.Report | None:
     """Returns a target's word on its load, or None if it gave none."""
-    parts = text.split(',')
-    try:
-        numbers = [int(float(part)) for part in parts]
-    except ValueError:
-        return None
-    if len(numbers) < 3:
+    figures = codec.convert_texts(
+        [figure.strip() for figure in text.split(',')],
+        provider.LoadFigures,
+    )
+    if isinstance(figures, result.Err):
         return None
-    slowness = numbers[3] / PERCENT if len(numbers) > 3 else 1.0
-    return standing.Report(numbers[0], numbers[1], slowness)
+    running, waiting, _, *more = figures.ok_value
+    slowness = more[0] / PERCENT if more else 1.0
+    return standing.Report(int(running), int(waiting), slowness)
 
 
 def _path(request: admission.Incoming) -> str:
--- a/src/bilberryglade/platform/tests/test_exchange.py
+++ b/src/bilberryglade/platform/tests/test_exchange.py
@@ -62,7 +62,18 @@
         assert report is not None
         self.assertEqual((report.running, report.waiting), (2, 1))
         self.assertAlmostEqual(report.slowness, 1.5)
-        for text in ('', 'x', '1,2', '1,,2'):
+        odd = (
+            'inf,0,8',
+            '0,inf,8',
+            '3,0,8,inf',
+            '3,0,8,nan',
+            'nan,0,8',
+            '1e400,0,8',
+            f'{"9" * 400},0,8',
+            '3,0,8,-100',
+            '-3,0,8',
+        )
+        for text in ('', 'x', '1,2', '1,,2', *odd):
             with self.subTest(text=text):
                 self.assertIsNone(exchange.report_of(text))
 
--- a/src/bilberryglade_schema/provider.py
+++ b/src/bilberryglade_schema/provider.py
@@ -21,6 +21,18 @@
 TimeLeft: TypeAlias = Annotated[str, Meta(pattern='^-?([0-9]{1,8}(\\.[0-9]{1,20})?(e-[0-9]{1,2})?ms|[0-9]{1,5}(\\.[0-9]{1,20})?(e-[0-9]{1,2})?s)$(?!\\n)')]
 
 
+LoadFigure: TypeAlias = Annotated[float, Meta(ge=0, le=1000000)]
+
+
+LoadFigures: TypeAlias = Annotated[list[LoadFigure], Meta(min_length=3, max_length=16)]
+"""
+A target's requests running and waiting, its places, and the time that work takes in percent of the usual; more may come.
+"""
+
+
+Patience: TypeAlias = Annotated[float, Meta(ge=-1000000000000, le=1000000000000)]
+
+
 class ProcessLimits(TypedDict):
     """
     What this process may use.
