A deadline of a caller that is no time is a malformed request

`X-Request-Deadline: nan` or `inf` was taken as a patience; the router's count of patiences then raised while the request was served. Seen before the change, test_exchange test_deadlines: "Incoming(... patience=nan ...) is not None", the same for inf, -inf, 1e400 and 400 digits.

The range stands in the schema. A negative deadline stays what it was: none left.

--- a/src/bilberryglade/platform/front.py
+++ b/src/bilberryglade/platform/front.py
@@ -7,12 +7,15 @@
 from collections import abc
 
 import loguru
+import result
 from starlette import applications, requests, responses, routing
 
+from bilberryglade._codec import codec
 from bilberryglade._delivery import router
 from bilberryglade._routing import admission, catalogue
 from bilberryglade._values import clock, leases, outcomes
 from bilberryglade.platform import headers
+from bilberryglade_schema import provider
 
 METHODS: typing.Final = (
     'GET',
@@ -262,4 +265,7 @@
 def _patience(text: str) -> float | None:
     if not text:
         return None
-    return max(float(text), 0) / 1000
+    read = codec.convert_texts(text, provider.Patience)
+    if isinstance(read, result.Err):
+        raise ValueError(f'deadline: {read.err_value.detail}')
+    return max(read.ok_value, 0) / 1000
--- a/src/bilberryglade/platform/tests/test_exchange.py
+++ b/src/bilberryglade/platform/tests/test_exchange.py
@@ -2,7 +2,10 @@
 
 import unittest
 
+from starlette import requests
+
 from bilberryglade._delivery import router
+from bilberryglade._routing import admission
 from bilberryglade._routing.tests import samples
 from bilberryglade._values import outcomes
 from bilberryglade.platform import exchange, front, headers
@@ -78,6 +81,45 @@
                 self.assertIsNone(exchange.report_of(text))
 
 
+class RequestTests(unittest.TestCase):
+    """What callers send."""
+
+    def incoming(self, name: str, text: bytes) -> admission.Incoming | None:
+        """Returns a request with one header besides its host."""
+        scope = {
+            'type': 'http',
+            'method': 'GET',
+            'path': '/',
+            'raw_path': b'/',
+            'query_string': b'',
+            'headers': [(b'host', b'h'), (name.encode(), text)],
+        }
+        return front.incoming_of(requests.Request(scope), b'', arrived_at=10)
+
+    def test_deadlines(self) -> None:
+        """A deadline that is no time would be a fault while it is served."""
+        sound = {b'2000': 2, b'1500.5': 1.5005, b'-1': 0, b'99999999999': 1e8}
+        for text, seconds in sound.items():
+            with self.subTest(text=text):
+                request = self.incoming(headers.DEADLINE, text)
+                assert request is not None
+                assert request.patience is not None
+                self.assertAlmostEqual(request.patience, seconds, places=0)
+        for text in (b'nan', b'inf', b'-inf', b'1e400', b'9' * 400, b'soon'):
+            with self.subTest(text=text):
+                self.assertIsNone(self.incoming(headers.DEADLINE, text))
+
+    def test_routing_keys(self) -> None:
+        """Only the keys that there are."""
+        odd = (b'65536', b'-1', b'1.5', b'nan', b'9' * 9999, b'\xb2', b'\xff')
+        for text in odd:
+            with self.subTest(text=text):
+                self.assertIsNone(self.incoming(headers.ROUTING_KEY, text))
+        request = self.incoming(headers.ROUTING_KEY, b'65535')
+        assert request is not None
+        self.assertEqual(request.routing_key, 65535)
+
+
 class ResponseTests(unittest.TestCase):
     """What callers are told."""
 
