A configuration with a number out of range is left out; the last good one holds

Seen before the change (schema without the ranges, the same tests), 14 cases of test_foreign_configurations, "AssertionError: 9 != 7": timeouts of "infs", "nanms", "-1s" and 400 digits, warm-up and idle times of "infs", priorities and attempts of 400 digits, negative attempts, rates, bursts and body sizes came into force; a version of 400 digits as well, which no message could then carry.

The ranges stand in the schema. Configurations after an odd one are followed, and failure domains are still taken out.

--- a/src/bilberryglade_schema/provider.py
+++ b/src/bilberryglade_schema/provider.py
@@ -21,6 +21,15 @@
 TimeLeft: TypeAlias = Annotated[str, Meta(pattern='^-?([0-9]{1,8}(\\.[0-9]{1,20})?(e-[0-9]{1,2})?ms|[0-9]{1,5}(\\.[0-9]{1,20})?(e-[0-9]{1,2})?s)$(?!\\n)')]
 
 
+Duration: TypeAlias = Annotated[str, Meta(pattern='^([0-9]{1,8}(\\.[0-9]{1,20})?(e-[0-9]{1,2})?ms|[0-9]{1,5}(\\.[0-9]{1,20})?(e-[0-9]{1,2})?s)$(?!\\n)')]
+
+
+Rank: TypeAlias = Annotated[int, Meta(ge=-9007199254740991, le=9007199254740991)]
+
+
+Rate: TypeAlias = Annotated[float, Meta(ge=0, le=1000000000)]
+
+
 LoadFigure: TypeAlias = Annotated[float, Meta(ge=0, le=1000000)]
 
 
@@ -104,7 +113,7 @@
     """
 
     service: str
-    weight: float
+    weight: Rate
 
 
 class RouteRow(TypedDict):
@@ -116,11 +125,11 @@
     hostname: str
     path_prefix: str
     route_type: str
-    timeout: str
-    target_latency: NotRequired[str | None]
-    priority: NotRequired[int | None]
+    timeout: Duration
+    target_latency: NotRequired[Duration | None]
+    priority: NotRequired[Rank | None]
     service: NotRequired[str | None]
-    attempts: NotRequired[int | None]
+    attempts: NotRequired[Whole | None]
     public: NotRequired[bool | None]
     traffic_split: NotRequired[list[SplitPart] | None]
 
@@ -133,8 +142,8 @@
     name: str
     health_check: NotRequired[str | None]
     max_connections: NotRequired[int | None]
-    warmup: NotRequired[str | None]
-    warmup_per_s: NotRequired[float | None]
+    warmup: NotRequired[Duration | None]
+    warmup_per_s: NotRequired[Rate | None]
     sharded: NotRequired[bool | None]
     warm: NotRequired[str | None]
 
@@ -146,9 +155,9 @@
 
     name: str
     api_keys: list[str]
-    priority: NotRequired[int | None]
-    rate_per_s: NotRequired[float | None]
-    burst: NotRequired[float | None]
+    priority: NotRequired[Rank | None]
+    rate_per_s: NotRequired[Rate | None]
+    burst: NotRequired[Rate | None]
 
 
 class LimitsTable(TypedDict):
@@ -156,10 +165,10 @@
     What a caller may send, and how long it may stay idle.
     """
 
-    max_header_bytes: NotRequired[int]
-    max_body_bytes: NotRequired[int]
-    header_timeout: NotRequired[str]
-    idle_timeout: NotRequired[str]
+    max_header_bytes: NotRequired[Whole]
+    max_body_bytes: NotRequired[Whole]
+    header_timeout: NotRequired[Duration]
+    idle_timeout: NotRequired[Duration]
 
 
 class ConfigValue(TypedDict):
@@ -167,7 +176,7 @@
     A configuration in full.
     """
 
-    config_version: int
+    config_version: Rank
     routes: Columns
     services: Columns
     tenants: NotRequired[Columns]
