A time without end is no time

`durations.seconds_of` gave inf for "infs" and 400 digits and nan for "nans", for settings and whatever else has times. Seen before the change, test_decoding test_other_texts, 5 cases: "AssertionError: ValueError not raised".

--- a/src/bilberryglade/platform/durations.py
+++ b/src/bilberryglade/platform/durations.py
@@ -1,5 +1,6 @@
 """Times as the platform writes them: a number and its unit."""
 
+import math
 import typing
 
 UNITS: typing.Final = (('ms', 0.001), ('s', 1.0))
@@ -12,7 +13,9 @@
     """
     for unit, scale in UNITS:
         if text.endswith(unit):
-            return float(text[: -len(unit)]) * scale
+            seconds = float(text[: -len(unit)]) * scale
+            if math.isfinite(seconds):
+                return seconds
     raise ValueError(f'{text!r} is not a number with the unit ms or s')
 
 
--- a/src/bilberryglade/platform/tests/test_decoding.py
+++ b/src/bilberryglade/platform/tests/test_decoding.py
@@ -29,7 +29,8 @@
 
     def test_other_texts(self) -> None:
         """Anything else is an error, never a zero."""
-        for text in ('', '5', 'ms', '5m', 'soon'):
+        endless = ('infs', '-infms', 'nans', '1e400s', f'{"9" * 400}ms')
+        for text in ('', '5', 'ms', '5m', 'soon', *endless):
             with self.subTest(text=text), self.assertRaises(ValueError):
                 durations.seconds_of(text)
 
