One odd record in an answer of the store no longer hides all others

A page of the store's newest records was `unreadable` as a whole if one item had no key, no value, another type, a value that is no base64, or a key that is no text; the topic was then never read, by nobody. Pages that lead to the same key again were asked for without end. Offsets of 400 digits or below 0 were believed.

Items are read one by one. One whose value cannot be read keeps its key, so that the target of that key is not taken for gone.

--- a/src/bilberryglade/_codec/codec.py
+++ b/src/bilberryglade/_codec/codec.py
@@ -5,6 +5,7 @@
 invariant and raises.
 """
 
+import re
 import typing
 from collections import abc
 
@@ -33,6 +34,11 @@
 #: Characters of a YAML scalar without quotes: a number of this length can
 #: still be written out.
 MOST_PLAIN_CHARACTERS: typing.Final = 3000
+#: The second half of a pair of code units without its first: how some writers
+#: of JSON spell a byte that is no text.
+HALF_PAIR: typing.Final = re.compile(
+    rb'(?<!\\u[dD][89abAB][0-9a-fA-F]{2})\\u[dD][c-fC-F][0-9a-fA-F]{2}',
+)
 
 
 class DecodeError(typing.NamedTuple):
@@ -70,6 +76,11 @@
     return decode_json(raw, dict[str, typing.Any]).and_then(_shallow)
 
 
+def with_whole_text(raw: bytes) -> bytes:
+    """Returns JSON with a replacement character for each half of a pair."""
+    return HALF_PAIR.sub(rb'\\ufffd', raw)
+
+
 def decode_packed(
     raw: bytes,
     kind: type[Message],
--- a/src/bilberryglade/platform/store.py
+++ b/src/bilberryglade/platform/store.py
@@ -1,10 +1,10 @@
 """The one client of the platform's store."""
 
 import base64
-import binascii
 import typing
 from urllib import parse as urls
 
+import loguru
 import result
 
 from bilberryglade._codec import codec
@@ -49,6 +49,8 @@
         #: Whether the last call had no answer: connections that are kept may
         #: have fallen silent with its own.
         self.is_doubted = False
+        #: Records that name no key, by topic; each time that they are read.
+        self.left_out: dict[str, int] = {}
 
     async def append(
         self,
@@ -137,15 +139,19 @@
                 return page
             # Pages are no snapshot: what came after the first is read again.
             end = page.ok_value['end'] if end is None else end
-            try:
-                found.extend(map(_record_of, page.ok_value['items']))
-            except (binascii.Error, ValueError):
-                return result.Err(stored.Failure.unreadable)
-            if not page.ok_value['has_more'] or not page.ok_value['items']:
+            told = page.ok_value['items']
+            readable = [
+                record for record in map(_record_of, told) if record is not None
+            ]
+            self._note_left_out(topic, len(told) - len(readable))
+            found.extend(readable)
+            if not page.ok_value['has_more'] or not told:
                 return result.Ok(
                     stored.Batch(tuple(found), end, is_whole=True),
                 )
-            after = page.ok_value['items'][-1]['key']
+            if not readable or readable[-1].key == after:
+                return result.Err(stored.Failure.unreadable)
+            after = readable[-1].key
 
     async def _page(
         self,
@@ -158,10 +164,18 @@
         answer = await self._call('GET', 'log-newest', query, b'')
         if isinstance(answer, result.Err):
             return answer
-        return codec.decode_json(
-            answer.ok_value,
-            provider.NewestAnswer,
-        ).map_err(lambda _: stored.Failure.unreadable)
+        page = codec.decode_json(answer.ok_value, provider.NewestAnswer)
+        if isinstance(page, result.Err):
+            whole = codec.with_whole_text(answer.ok_value)
+            page = codec.decode_json(whole, provider.NewestAnswer)
+        return page.map_err(lambda _: stored.Failure.unreadable)
+
+    def _note_left_out(self, topic: str, count: int) -> None:
+        """Writes a line for the first records of a topic without a key."""
+        if count and topic not in self.left_out:
+            loguru.logger.warning('records of {} without a key left out', topic)
+        if count:
+            self.left_out[topic] = self.left_out.get(topic, 0) + count
 
     async def _call(
         self,
@@ -201,6 +215,14 @@
     return NAMED_TOPICS.get(topic, f'keyed.{topic}')
 
 
-def _record_of(entry: provider.NewestItem) -> stored.Record:
-    payload = base64.b64decode(entry['value'], validate=True)
+def _record_of(item: object) -> stored.Record | None:
+    """Returns a record; one whose value cannot be read keeps its key."""
+    decoded = codec.convert(item, provider.NewestItem)
+    if isinstance(decoded, result.Err):
+        return None
+    entry = decoded.ok_value
+    try:
+        payload = base64.b64decode(entry['value'], validate=True)
+    except ValueError:
+        return stored.Record(entry['key'], entry['offset'], b'')
     return stored.Record(entry['key'], entry['offset'], payload or None)
--- a/src/bilberryglade_schema/provider.py
+++ b/src/bilberryglade_schema/provider.py
@@ -203,8 +203,8 @@
     Where records were appended.
     """
 
-    offset: int
-    end: int
+    offset: Whole
+    end: Whole
 
 
 class NewestItem(TypedDict):
@@ -214,7 +214,7 @@
 
     key: str
     value: str
-    offset: int
+    offset: Whole
 
 
 class NewestAnswer(TypedDict):
@@ -222,9 +222,9 @@
     A page of the newest record of each key.
     """
 
-    items: list[NewestItem]
+    items: list[Any]
     has_more: bool
-    end: int
+    end: Whole
 
 
 class SelfTable(TypedDict):
