Unsound tables of owners are left out, and the last good ones hold

A record or message of the owners of keys with a row of another length, or a place beyond its owners, raised ValueError or IndexError out of the steward, at every instance that read it; keys beyond the last, ranges in disorder, one key with two owners, negative fences and leases without end came into force.

Rows are lists of named places with ranges in the schema; `owners.sound` checks what a type cannot say. All that instances write is sound (a property over cut tables, and the steward's tests, which read what they write).

--- a/src/bilberryglade/_ownership/owners.py
+++ b/src/bilberryglade/_ownership/owners.py
@@ -6,6 +6,7 @@
 from collections import abc
 
 import immutables
+import result
 
 from bilberryglade._ownership import ranges
 from bilberryglade_schema import fleet as messages
@@ -117,6 +118,28 @@
     )
 
 
+def sound(
+    message: messages.Assignment,
+) -> result.Result[messages.Assignment, str]:
+    """Returns a message or record if it is a table, or why it is none.
+
+    Rows name owners that there are; those of a service are in order, so that
+    no key has two. Earlier owners may have had the same keys.
+    """
+    for service, table in message['services'].items():
+        wrong = _wrong_rows(table['owners'], table['rows'])
+        lasts = [-1, *(row[1] for row in table['rows'])]
+        if any(row[0] <= last for row, last in zip(table['rows'], lasts)):
+            wrong = wrong or 'ranges are not in order'
+        if wrong:
+            return result.Err(f'{service}: {wrong}')
+    for name, former in message.get('former', {}).items():
+        wrong = _wrong_rows(former['owners'], former['rows'])
+        if wrong:
+            return result.Err(f'{name}, earlier owners: {wrong}')
+    return result.Ok(message)
+
+
 def from_message(message: messages.Assignment, version: int) -> Tables:
     """Returns the tables in a message or record; new fences get `version`.
 
@@ -158,7 +181,7 @@
     """
     places: dict[ranges.Owner, int] = {}
     rows = [
-        [*_row(owned.entry, places), int(owned.is_moving)] for owned in found
+        (*_row(owned.entry, places), int(owned.is_moving)) for owned in found
     ]
     return {'owners': _lives(places, addresses), 'rows': rows}
 
@@ -170,7 +193,7 @@
     """Returns earlier owners as they stand in a record."""
     places: dict[ranges.Owner, int] = {}
     rows = [
-        [*_row(former.entry, places), math.ceil(former.seconds * MILLISECONDS)]
+        (*_row(former.entry, places), math.ceil(former.seconds * MILLISECONDS))
         for former in found
     ]
     return {'owners': _lives(places, addresses), 'rows': rows}
@@ -211,6 +234,18 @@
     )
 
 
+def _wrong_rows(
+    lives: abc.Sequence[messages.OwnerLife],
+    rows: abc.Iterable[tuple[int, int, int, int, int]],
+) -> str:
+    for first, last, place, _, _ in rows:
+        if first > last:
+            return f'a range ends at {last}, before {first}'
+        if place >= len(lives):
+            return f'no owner at {place}'
+    return ''
+
+
 def _is_covered(entry: ranges.Range, news: abc.Sequence[Owned]) -> bool:
     """Tells whether a range overlaps one of `news`, which are in order."""
     place = bisect.bisect(news, entry.first, key=_last_key)
--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -121,7 +121,9 @@
         return owners.to_message(self.tables, self.members.own.name)
 
     def _take_record(self, payload: bytes, offset: int) -> None:
-        decoded = codec.decode_packed(payload, messages.Assignment)
+        decoded = codec.decode_packed(payload, messages.Assignment).and_then(
+            owners.sound
+        )
         if isinstance(decoded, result.Err):
             loguru.logger.error('tables at offset {} unreadable', offset)
             return
--- a/src/bilberryglade/_ownership/tests/test_table_news.py
+++ b/src/bilberryglade/_ownership/tests/test_table_news.py
@@ -33,7 +33,7 @@
     )
 
 
-def rows_of(message: messages.Assignment) -> list[list[int]]:
+def rows_of(message: messages.Assignment) -> list[messages.OwnedRow]:
     """Returns the ranges that a message tells."""
     table = message['services']['s']
     return table['rows']
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -2,11 +2,61 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, NotRequired, TypeAlias, TypedDict
+from typing import Annotated, Any, Literal, NotRequired, TypeAlias, TypedDict
+
+from msgspec import Meta
 
 Fleet: TypeAlias = Any
 
 
+Whole: TypeAlias = Annotated[int, Meta(ge=0, le=9223372036854775807)]
+
+
+Offset: TypeAlias = Annotated[int, Meta(ge=-1, le=9007199254740991)]
+
+
+Milliseconds: TypeAlias = Annotated[int, Meta(ge=-1000000000, le=1000000000)]
+
+
+LeaseMilliseconds: TypeAlias = Annotated[int, Meta(ge=-3600000, le=3600000)]
+
+
+WorkSeconds: TypeAlias = Annotated[float, Meta(ge=0, le=1000000)]
+
+
+Cores: TypeAlias = Annotated[float, Meta(ge=0, le=1000000)]
+
+
+Key: TypeAlias = Annotated[int, Meta(ge=0, le=65535)]
+
+
+Place: TypeAlias = Annotated[int, Meta(ge=0, le=65535)]
+
+
+Flag: TypeAlias = Annotated[int, Meta(ge=0, le=1)]
+
+
+Block: TypeAlias = Annotated[str, Meta(pattern='^(0|[1-9][0-9]{0,2}|[1-3][0-9]{3}|40[0-8][0-9]|409[0-5])$(?!\\n)')]
+
+
+PeerAddress: TypeAlias = Annotated[str, Meta(pattern='^[A-Za-z0-9]([A-Za-z0-9-]{0,62}[A-Za-z0-9])?(\\.[A-Za-z0-9]([A-Za-z0-9-]{0,62}[A-Za-z0-9])?){0,7}:([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])$(?!\\n)')]
+
+
+PeerKey: TypeAlias = Annotated[str, Meta(pattern='^[0-9a-zA-Z.:+=^!/*?&<>()\\[\\]{}@%$#-]{40}$(?!\\n)')]
+
+
+OwnedRow: TypeAlias = tuple[Key, Key, Place, Whole, Flag]
+"""
+First and last key, place of the owner in owners, fence, and 1 while the owner has not been granted them.
+"""
+
+
+FormerRow: TypeAlias = tuple[Key, Key, Place, Whole, LeaseMilliseconds]
+"""
+First and last key, place of the owner in owners, fence, and the milliseconds that a lease may last from the writing of the record on.
+"""
+
+
 class Hello(TypedDict):
     """
     An instance has started, or is about to stop.
@@ -15,10 +65,10 @@
     kind: Literal['hello']
     sender: str
     boot: str
-    address: str
+    address: PeerAddress
     failure_domain: str
     is_leaving: bool
-    processor: NotRequired[float]
+    processor: NotRequired[Cores]
 
 
 class Lead(TypedDict):
@@ -28,13 +78,13 @@
 
     kind: Literal['lead']
     sender: str
-    term: int
-    claim: int
-    tables_version: int
-    tables_change: int
-    operator_offset: int
-    operator_total: int
-    operator_age_ms: int
+    term: Offset
+    claim: Offset
+    tables_version: Offset
+    tables_change: Whole
+    operator_offset: Offset
+    operator_total: Whole
+    operator_age_ms: Whole
     is_over: NotRequired[bool]
 
 
@@ -46,8 +96,8 @@
     kind: Literal['report']
     sender: str
     is_led: bool
-    key_counts: dict[str, dict[str, int]]
-    target_seconds: dict[str, float]
+    key_counts: dict[str, dict[Block, Whole]]
+    target_seconds: dict[str, WorkSeconds]
 
 
 class QuotaAsk(TypedDict):
@@ -58,7 +108,7 @@
     kind: Literal['quota_ask']
     sender: str
     boot: str
-    sequence: int
+    sequence: Whole
     organisation: str
     needed: int
     extra: int
@@ -73,10 +123,10 @@
     kind: Literal['quota_grant']
     sender: str
     boot: str
-    sequence: int
+    sequence: Whole
     organisation: str
-    amount: int
-    retry_ms: int
+    amount: Whole
+    retry_ms: Milliseconds
 
 
 class RelayedRecord(TypedDict):
@@ -85,7 +135,7 @@
     """
 
     key: str
-    offset: int
+    offset: Whole
     value: NotRequired[bytes | None]
 
 
@@ -97,9 +147,9 @@
     kind: Literal['relay']
     sender: str
     topic: str
-    start: int
-    end: int
-    age_ms: int
+    start: Offset
+    end: Offset
+    age_ms: Whole
     is_whole: bool
     records: list[RelayedRecord]
 
@@ -119,8 +169,8 @@
     """
 
     target: str
-    born: int
-    address: NotRequired[str]
+    born: Whole
+    address: NotRequired[PeerAddress]
 
 
 class FormerTable(TypedDict):
@@ -129,7 +179,7 @@
     """
 
     owners: list[OwnerLife]
-    rows: list[list[int]]
+    rows: list[FormerRow]
 
 
 class OwnedTable(TypedDict):
@@ -138,7 +188,7 @@
     """
 
     owners: list[OwnerLife]
-    rows: list[list[int]]
+    rows: list[OwnedRow]
 
 
 class Assignment(TypedDict):
@@ -148,10 +198,10 @@
 
     kind: Literal['assignment']
     sender: str
-    version: int
-    change: NotRequired[int]
-    base_version: NotRequired[int]
-    base_change: NotRequired[int]
+    version: Offset
+    change: NotRequired[Whole]
+    base_version: NotRequired[Offset]
+    base_change: NotRequired[Whole]
     services: dict[str, OwnedTable]
     former: NotRequired[dict[str, FormerTable]]
 
@@ -173,7 +223,7 @@
     holder: str
     address: str
     boot: str
-    sequence: int
+    sequence: Whole
     is_resigned: bool
 
 
@@ -183,9 +233,9 @@
     """
 
     boot: str
-    address: str
+    address: PeerAddress
     failure_domain: str
-    processor: NotRequired[float]
+    processor: NotRequired[Cores]
 
 
 class PeerKeys(TypedDict):
@@ -193,8 +243,8 @@
     The key pair by which instances know one another.
     """
 
-    public_key: str
-    secret_key: str
+    public_key: PeerKey
+    secret_key: PeerKey
 
 
 class Crash(TypedDict):
@@ -215,11 +265,11 @@
 
     kind: Literal['ask']
     sender: str
-    number: int
+    number: Whole
     service: str
     owner: NotRequired[str]
-    aim_ms: int
-    left_ms: int
+    aim_ms: Milliseconds
+    left_ms: Milliseconds
     excluded: NotRequired[list[str]]
 
 
@@ -230,11 +280,11 @@
 
     kind: Literal['permit']
     sender: str
-    number: int
+    number: Whole
     target: NotRequired[str]
-    born: NotRequired[int]
+    born: NotRequired[Whole]
     reason: NotRequired[str]
-    retry_ms: NotRequired[int]
+    retry_ms: NotRequired[Milliseconds]
 
 
 class PermitEnd(TypedDict):
@@ -244,7 +294,7 @@
 
     kind: Literal['end']
     sender: str
-    number: int
+    number: Whole
     ending: str
-    ms: int
-    load: NotRequired[list[int]]
+    ms: Milliseconds
+    load: NotRequired[list[Whole]]
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -57,7 +57,12 @@
 
 
 def _bounds_of(definition: dict[str, object]) -> str:
-    """Returns the bounds of a schema's type as arguments; '' if it has none."""
+    """Returns the bounds of a schema's type as arguments; '' if it has none.
+
+    A list of named places has its length by itself.
+    """
+    if 'prefixItems' in definition:
+        return ''
     return ', '.join(
         f'{BOUNDS[keyword]}={bound!r}'
         for keyword, bound in definition.items()
