An unsound message of another instance is left out and does not end the loop

A report with a block that is no number, or tables with an odd row, raised out of the loop that receives messages, and the process ended; an address with port 99999, processor time of nan, negative amounts, or a request that is never over were believed.

Both are counted as `malformed`, with one line as before.

--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -4,6 +4,7 @@
 
 from bilberryglade._knowledge import topics
 from bilberryglade._membership import fleet as members
+from bilberryglade._ownership import owners
 from bilberryglade._peers import handlers
 from bilberryglade_schema import fleet
 
@@ -82,7 +83,7 @@
     parts.reader.tell_all(topics.OPERATOR, message['sender'])
 
 
-@handlers.handler_for('assignment', fleet.Assignment)
+@handlers.handler_for('assignment', fleet.Assignment, owners.sound)
 def handle_assignment(parts: 'entry.Parts', message: fleet.Assignment) -> None:
     """Takes in the owners of keys."""
     parts.steward.hear(message)
--- a/src/bilberryglade/_peers/network.py
+++ b/src/bilberryglade/_peers/network.py
@@ -123,8 +123,9 @@
         handler = handlers.handlers.find(envelope.ok_value['kind'])
         if handler is None:
             return result.Err(Rejected('unknown_kind'))
-        message: result.Result[typing.Any, codec.DecodeError]
+        message: result.Result[typing.Any, codec.DecodeError | str]
         message = codec.decode_packed(raw, handler.kind)
+        message = message.and_then(handler.check)
         if isinstance(message, result.Err):
             return result.Err(Rejected('malformed'))
         return result.Ok(Received(handler, message.ok_value))
