Odd records of the fleet's own topics hold nobody up

- A claim of the lease that could not be read counted as no claim: every instance then claimed at the end of an empty topic, was refused, and tried again, so that nobody ever coordinated.
It holds like any other now, and is replaced at its end.
- A key pair that no connection can use ended the start of every instance.

A member whose entry cannot be read gets one line.

--- a/src/bilberryglade/_membership/candidacy.py
+++ b/src/bilberryglade/_membership/candidacy.py
@@ -249,14 +249,16 @@
         if record.key != KEY or record.payload is None:
             continue
         claim = codec.decode_packed(record.payload, messages.Claim)
-        if isinstance(claim, result.Ok):
-            return leadership.Seen(
-                offset=record.offset,
-                holder=claim.ok_value['holder'],
-                boot=claim.ok_value['boot'],
-                address=claim.ok_value['address'],
-                sequence=claim.ok_value['sequence'],
-                is_resigned=claim.ok_value['is_resigned'],
-                first_seen=now,
-            )
+        if isinstance(claim, result.Err):
+            # Nobody's claim: it holds as long as any, and is replaced then.
+            return leadership.Seen(record.offset, '', '', '', 0, False, now)
+        return leadership.Seen(
+            offset=record.offset,
+            holder=claim.ok_value['holder'],
+            boot=claim.ok_value['boot'],
+            address=claim.ok_value['address'],
+            sequence=claim.ok_value['sequence'],
+            is_resigned=claim.ok_value['is_resigned'],
+            first_seen=now,
+        )
     return None
--- a/src/bilberryglade/_membership/enrolment.py
+++ b/src/bilberryglade/_membership/enrolment.py
@@ -62,6 +62,8 @@
         self.lease = lease
         #: Whether the others' entries were read once.
         self.is_read = False
+        #: Names whose entries could not be read, which were told once.
+        self.unreadable: set[str] = set()
 
     async def join(self) -> None:
         """Writes this instance's entry; asks until the store took it."""
@@ -133,7 +135,9 @@
             return
         entry = codec.decode_packed(record.payload, messages.Member)
         if isinstance(entry, result.Err):
-            loguru.logger.warning('member {} unreadable', record.key)
+            if record.key not in self.unreadable:
+                loguru.logger.warning('member {} unreadable', record.key)
+            self.unreadable.add(record.key)
             return
         self.members.take(
             fleet.Member(
@@ -156,11 +160,19 @@
     for record in batch.records:
         if record.key == KEYS_KEY and record.payload is not None:
             decoded = codec.decode_packed(record.payload, messages.PeerKeys)
-            if isinstance(decoded, result.Ok):
+            if isinstance(decoded, result.Ok) and _is_pair(decoded.ok_value):
                 return decoded.ok_value
     return None
 
 
+def _is_pair(keys: messages.PeerKeys) -> bool:
+    try:
+        public = zmq.curve_public(keys['secret_key'].encode())
+    except zmq.ZMQError:
+        return False
+    return public == keys['public_key'].encode()
+
+
 def _new_keys() -> messages.PeerKeys:
     public, secret = zmq.curve_keypair()
     return {'public_key': public.decode(), 'secret_key': secret.decode()}
