A header beyond ASCII no longer costs a caller its answer

An answer with a header in UTF-8 arrived whole, and raised UnicodeEncodeError when it was written to the caller, who got a 502: the library reads UTF-8, the front writes a byte for each character. Found by playing changed heads through the sender and the front. Seen before the change, test_odd_heads: "UnicodeEncodeError: 'latin-1' codec can't encode character '\u20ac' in position 0".

Names and texts of headers stand for bytes from the start, as those of callers do, so that they are passed on unchanged.

--- a/src/bilberryglade/_targets/answers.py
+++ b/src/bilberryglade/_targets/answers.py
@@ -79,5 +79,16 @@
 
 
 def raw_headers(response: aiosonic.HttpResponse) -> list[tuple[str, str]]:
-    """Returns names in lower case with their texts, in order."""
-    return [(name.lower(), text) for name, text in response.raw_headers]
+    """Returns names in lower case with their texts, in order.
+
+    A character stands for a byte, as in all headers here; the library reads
+    UTF-8.
+    """
+    return [
+        (_as_bytes(name).lower(), _as_bytes(text))
+        for name, text in response.raw_headers
+    ]
+
+
+def _as_bytes(text: str) -> str:
+    return text.encode().decode('latin-1')
