One record of the log that nobody can read no longer stops its readers

A record that is nested deeply, or has a number without end, more digits than are read, or half a pair of code units, made the whole answer of the log unreadable: every instance asked for the same records for ever. One with a number beyond 64 bits was folded and could not be passed on to a peer. A malformed answer raised ValueError out of the loop that follows the log.

Such a record is empty now: it keeps its offset and is rejected there, the same at all instances, whatever came with it in one answer.

--- a/src/bilberryglade/_codec/codec.py
+++ b/src/bilberryglade/_codec/codec.py
@@ -34,6 +34,10 @@
 #: Characters of a YAML scalar without quotes: a number of this length can
 #: still be written out.
 MOST_PLAIN_CHARACTERS: typing.Final = 3000
+#: JSON that no decoder takes, and that ends where it ends.
+NO_NUMBER: typing.Final = b'1e999'
+#: Strings of JSON, and where its maps and lists begin and end.
+JSON_TOKEN: typing.Final = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
 #: The second half of a pair of code units without its first: how some writers
 #: of JSON spell a byte that is no text.
 HALF_PAIR: typing.Final = re.compile(
@@ -41,6 +45,10 @@
 )
 
 
+#: JSON that is decoded later, or not at all.
+Raw: typing.TypeAlias = msgspec.Raw
+
+
 class DecodeError(typing.NamedTuple):
     """Bytes that are not the message they should be."""
 
@@ -76,6 +84,36 @@
     return decode_json(raw, dict[str, typing.Any]).and_then(_shallow)
 
 
+def passable(
+    plain: dict[str, typing.Any],
+) -> result.Result[dict[str, typing.Any], DecodeError]:
+    """Returns a map of unknown fields if it can be passed on as MessagePack.
+
+    It is at most `MOST_DEPTH` deep, and has no number beyond 64 bits.
+    """
+    shallow = _shallow(plain)
+    if isinstance(shallow, result.Err):
+        return shallow
+    return attempt(lambda: encode_packed(plain)).map(lambda _: plain)
+
+
+def flattened(raw: bytes, most_depth: int) -> bytes:
+    """Returns JSON in which what is deeper is a number that is none."""
+    kept: list[bytes] = []
+    depth = 0
+    place = 0
+    for token in JSON_TOKEN.finditer(raw):
+        if token[0] in {b'[', b'{'}:
+            depth += 1
+            if depth == most_depth + 1:
+                kept.extend((raw[place : token.start()], NO_NUMBER))
+        elif token[0] in {b']', b'}'}:
+            if depth == most_depth + 1:
+                place = token.end()
+            depth -= 1
+    return raw if depth else b''.join((*kept, raw[place:]))
+
+
 def with_whole_text(raw: bytes) -> bytes:
     """Returns JSON with a replacement character for each half of a pair."""
     return HALF_PAIR.sub(rb'\\ufffd', raw)
@@ -159,7 +197,12 @@
 ) -> result.Result[dict[str, typing.Any], DecodeError]:
     level: list[object] = [plain]
     for _ in range(MOST_DEPTH):
-        level = [inner for outer in level for inner in _inner(outer)]
+        level = [
+            inner
+            for outer in level
+            for inner in _inner(outer)
+            if isinstance(inner, dict | list | tuple)
+        ]
         if not level:
             return result.Ok(plain)
     return result.Err(DecodeError('nested too deeply'))
@@ -168,4 +211,4 @@
 def _inner(outer: object) -> abc.Iterable[object]:
     if isinstance(outer, dict):
         return outer.values()
-    return outer if isinstance(outer, list) else ()
+    return outer if isinstance(outer, list | tuple) else ()
--- a/src/bilberryglade/_log/log_client.py
+++ b/src/bilberryglade/_log/log_client.py
@@ -5,10 +5,12 @@
 
 import aiosonic
 import result
-from aiosonic import exceptions, timeout
+from aiosonic import timeout
 
 from bilberryglade._codec import codec
+from bilberryglade._log import answers
 from bilberryglade._state import folding
+from bilberryglade._targets import sender
 from bilberryglade_schema import platform
 
 CONNECT_SECONDS: typing.Final = 1.0
@@ -75,7 +77,9 @@
         )
         if isinstance(exchanged, result.Err):
             return exchanged
-        return _decoded(exchanged.ok_value, platform.ReadAnswer)
+        return answers.read(exchanged.ok_value).map_err(
+            lambda _: LogFailure.unreadable,
+        )
 
     async def _exchange(
         self,
@@ -97,7 +101,7 @@
                 timeouts=limits,
             )
             raw = await response.content()
-        except (exceptions.AiosonicError, exceptions.BaseTimeout, OSError):
+        except sender.BROKEN_EXCHANGE:
             return result.Err(LogFailure.unclear)
         if response.status_code == TOO_LARGE_STATUS:
             return result.Err(LogFailure.too_large)
