--- a/src/bilberryglade/_log/chunks.py
+++ b/src/bilberryglade/_log/chunks.py
@@ -5,7 +5,6 @@
 """
 
 import base64
-import binascii
 import typing
 import zlib
 from collections import abc
@@ -21,6 +20,8 @@
 FORMAT: typing.Final = 1
 #: Of the platform's record size of 1 MiB, after base 64 and with the fields.
 PART_BYTES: typing.Final = 700_000
+#: Longest state that is read: many times one of a large fleet.
+MOST_STATE_BYTES: typing.Final = 268_435_456
 COMPRESSION_LEVEL: typing.Final = 1
 
 
@@ -121,7 +122,7 @@
     chunk = decoded.ok_value
     try:
         body = base64.b64decode(chunk['body'], validate=True)
-    except binascii.Error:
+    except ValueError:
         return None
     return Part(
         format=chunk['format'],
@@ -134,10 +135,13 @@
 
 
 def _unpacked(compressed: bytes) -> state.ClusterState | None:
+    unpacking = zlib.decompressobj()
     try:
-        raw = zlib.decompress(compressed)
+        raw = unpacking.decompress(compressed, MOST_STATE_BYTES)
     except zlib.error:
         return None
+    if not unpacking.eof:
+        return None
     decoded = values.decode_value(raw, state.ClusterState)
     if isinstance(decoded, result.Err):
         return None
