One odd row of the platform's list hides no other

The list was unreadable as a whole if one row was; a malformed answer raised ValueError out of the duties that read it. Seen before the change, test_list_client: "Err(ListUnavailable(detail='Expected `obj...')) != Ok([...])" (6 cases) and "ValueError: malformed status line".

--- a/src/bilberryglade/_listing/list_client.py
+++ b/src/bilberryglade/_listing/list_client.py
@@ -3,10 +3,12 @@
 import typing
 
 import aiosonic
+import loguru
 import result
-from aiosonic import exceptions, timeout
+from aiosonic import timeout
 
 from bilberryglade._codec import codec
+from bilberryglade._targets import sender
 from bilberryglade_schema import platform
 
 REQUEST_SECONDS: typing.Final = 2.0
@@ -26,6 +28,8 @@
         """Talks to the service at `url` through `http`."""
         self.url = url
         self.http = http
+        #: Rows that could not be read, each time that the list was.
+        self.left_out = 0
 
     async def read(
         self,
@@ -38,16 +42,23 @@
                 timeouts=limits,
             )
             raw = await response.content()
-        except (
-            exceptions.AiosonicError,
-            exceptions.BaseTimeout,
-            OSError,
-        ) as error:
+        except sender.BROKEN_EXCHANGE as error:
             return result.Err(ListUnavailable(repr(error)))
         if response.status_code != OK_STATUS:
             return result.Err(ListUnavailable(f'status {response.status_code}'))
         return (
-            codec.decode_json(raw, platform.MemberList)
-            .map(lambda answer: answer['members'])
+            codec.decode_open_json(raw)
+            .and_then(lambda answer: codec.convert(answer, platform.MemberList))
+            .map(lambda answer: self._rows(answer['members']))
             .map_err(lambda error: ListUnavailable(error.detail))
         )
+
+    def _rows(self, found: list[typing.Any]) -> list[platform.ListedMember]:
+        """Returns the rows that can be read."""
+        rows = [codec.convert(row, platform.ListedMember) for row in found]
+        sound = [row.ok_value for row in rows if isinstance(row, result.Ok)]
+        left_out = len(rows) - len(sound)
+        if left_out and not self.left_out:
+            loguru.logger.warning('rows of the list of members left out')
+        self.left_out += left_out
+        return sound
--- /dev/null
+++ b/src/bilberryglade/_listing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform's list of members."""
--- a/src/bilberryglade_schema/platform.py
+++ b/src/bilberryglade_schema/platform.py
@@ -56,7 +56,7 @@
     The whole list.
     """
 
-    members: list[ListedMember]
+    members: list[Any]
 
 
 class Grant(TypedDict, closed=True):
