A request to the API with a number of many digits is refused as invalid

`?based_on=` with 9,999 digits raised ValueError out of the decoding, a fault of the program; a number beyond 64 bits was taken and could not be written.

--- a/src/bilberryglade/_admin/decoding.py
+++ b/src/bilberryglade/_admin/decoding.py
@@ -11,6 +11,8 @@
 from bilberryglade_schema import admin, admin_checks
 
 MAX_BODY_BYTES: typing.Final = 2_097_152
+#: Digits of a number in a query: so many always fit into 64 bits.
+MAX_DIGITS: typing.Final = 18
 
 Decoded: typing.TypeAlias = result.Result[typing.Any, failures.Failure]
 
@@ -83,11 +85,15 @@
     query: typing.Mapping[str, str],
 ) -> dict[str, str | int]:
     return {
-        name: int(text) if text.isdecimal() else text
+        name: int(text) if _is_number(text) else text
         for name, text in query.items()
     }
 
 
+def _is_number(text: str) -> bool:
+    return text.isdecimal() and len(text) <= MAX_DIGITS
+
+
 async def _body(request: requests.Request) -> bytes | None:
     parts: list[bytes] = []
     size = 0
--- a/src/bilberryglade/_codec/codec.py
+++ b/src/bilberryglade/_codec/codec.py
@@ -79,9 +79,9 @@
 ) -> result.Result[dict[str, typing.Any], DecodeError]:
     """Decodes a JSON map whose fields are not known beforehand.
 
-    It is at most `MOST_DEPTH` deep.
+    It can be passed on: see `passable`.
     """
-    return decode_json(raw, dict[str, typing.Any]).and_then(_shallow)
+    return decode_json(raw, dict[str, typing.Any]).and_then(passable)
 
 
 def passable(
