A rate next to none is a rate, and what others write is played in any shape

Seen before the change, platform/tests/test_fuzz test_rows, explicit example: "OverflowError: cannot convert float infinity to integer".

--- a/src/bilberryglade/_limits/parts.py
+++ b/src/bilberryglade/_limits/parts.py
@@ -74,6 +74,10 @@
     return Flow(quota.rate * share, max(quota.burst * share, LEAST_ROOM))
 
 
+#: Bound on what a caller is told to wait: the least rates would tell for ever.
+LONGEST_RETRY_SECONDS: typing.Final = 3600.0
+
+
 class Need(typing.NamedTuple):
     """What an ask for tokens is for."""
 
@@ -102,6 +106,7 @@
     if not amount:
         missing = max(1 + reserve - level, 0)
         retry_seconds = missing / flow.rate if flow.rate else 1.0
+        retry_seconds = min(retry_seconds, LONGEST_RETRY_SECONDS)
     return Taken(Bucket(level - amount, now), amount, retry_seconds)
 
 
--- a/src/bilberryglade/platform/catalogues.py
+++ b/src/bilberryglade/platform/catalogues.py
@@ -12,6 +12,8 @@
 #: Kind of a route whose requests may run more than once.
 REPEATABLE: typing.Final = 'safe'
 KINDS: typing.Final = frozenset((REPEATABLE, 'unsafe'))
+#: Requests a second: some one a day.
+LEAST_RATE: typing.Final = 0.00001
 
 Row = typing.TypeVar('Row')
 
@@ -114,17 +116,22 @@
     return catalogue.Service(
         name=row['name'],
         is_partitioned=bool(row.get('sharded')),
-        cold_rate=float(row.get('warmup_per_s') or 0),
+        cold_rate=_rate(row.get('warmup_per_s')),
         warmup=durations.seconds_of(row.get('warmup') or '0s'),
         health_path=row.get('health_check') or '/',
     )
 
 
+def _rate(told: float | None) -> float:
+    """Returns a rate whose reciprocal is a time; 0 if there is no limit."""
+    return max(told, LEAST_RATE) if told else 0
+
+
 def _organisation(row: provider.TenantRow) -> catalogue.Organisation:
     return catalogue.Organisation(
         name=row['name'],
         priority=row.get('priority'),
-        rate=float(row.get('rate_per_s') or 0),
+        rate=_rate(row.get('rate_per_s')),
         burst=float(row.get('burst') or 0),
     )
 
