An address that no socket takes is not sent to, and ends nothing

An address that another process has written, in its entry, its word or a record of the log, raised ZMQError out of whatever sent to it. Seen before the change, test_network, AddressTests: "ZMQError: Invalid argument (addr='tcp://a b:80')".

Nothing is sent then, as with a full queue; a line is written once for each.

--- a/src/bilberryglade/_peers/network.py
+++ b/src/bilberryglade/_peers/network.py
@@ -3,6 +3,7 @@
 import typing
 from collections import abc
 
+import loguru
 import result
 import zmq
 from zmq import asyncio as zmq_asyncio
@@ -29,6 +30,8 @@
 #: Pause before the next try, at first and at most.
 RECONNECT_MS: typing.Final = 100
 LONGEST_RECONNECT_MS: typing.Final = 400
+#: Unusable addresses that are told of.
+MOST_UNUSABLE: typing.Final = 50
 
 
 class Received(typing.NamedTuple):
@@ -74,6 +77,8 @@
         self.sent_bytes = 0
         #: The same by kind of message.
         self.sent_kinds: dict[str, Sent] = {}
+        #: Addresses that no socket takes, which were told.
+        self.unusable: set[str] = set()
 
     def open(self) -> None:
         """Binds the receiving socket; only holders of the fleet's key pass."""
@@ -94,7 +99,8 @@
     def send(self, address: str, message: abc.Mapping[str, object]) -> bool:
         """Queues a message for the peer at `address`.
 
-        Returns False if the peer's queue is full; nothing was sent then.
+        Returns False if the peer's queue is full, or if nobody can be at the
+        address; nothing was sent then.
         """
         return self._send_encoded(
             address, str(message['kind']), codec.encode_packed(message)
@@ -144,9 +150,9 @@
         self.context.destroy(LINGER_MS)
 
     def _send_encoded(self, address: str, kind: str, raw: bytes) -> bool:
-        sender = self.senders.get(address)
+        sender = self.senders.get(address) or self._connect(address)
         if sender is None:
-            sender = self._connect(address)
+            return False
         try:
             zmq.Socket.send(sender, raw, zmq.NOBLOCK)
         except zmq.Again:
@@ -157,7 +163,8 @@
         self.sent_kinds[kind] = Sent(known.messages + 1, known.size + len(raw))
         return True
 
-    def _connect(self, address: str) -> zmq_asyncio.Socket:
+    def _connect(self, address: str) -> zmq_asyncio.Socket | None:
+        """Returns a new socket; None if no socket takes the address."""
         sender = self.context.socket(zmq.DEALER)
         sender.curve_serverkey = self._public_key()
         self._secure(sender)
@@ -168,10 +175,22 @@
         sender.connect_timeout = CONNECT_MS
         sender.reconnect_ivl = RECONNECT_MS
         sender.reconnect_ivl_max = LONGEST_RECONNECT_MS
-        sender.connect(f'tcp://{address}')
+        try:
+            sender.connect(f'tcp://{address}')
+        except zmq.ZMQError as error:
+            sender.close(LINGER_MS)
+            self._note_unusable(address, error)
+            return None
         self.senders[address] = sender
         return sender
 
+    def _note_unusable(self, address: str, error: zmq.ZMQError) -> None:
+        """Writes a line for an address that is none, so many in all."""
+        if address in self.unusable or len(self.unusable) >= MOST_UNUSABLE:
+            return
+        self.unusable.add(address)
+        loguru.logger.warning('no peer can be at {!r}: {}', address, error)
+
     def _secure(self, socket: zmq_asyncio.Socket) -> None:
         socket.curve_publickey = self._public_key()
         socket.curve_secretkey = self.keys['secret_key'].encode()
--- a/src/bilberryglade/_peers/tests/test_network.py
+++ b/src/bilberryglade/_peers/tests/test_network.py
@@ -65,3 +65,16 @@
             peers.sent_kinds,
             {'x': network.Sent(2, size * 2), 'y': network.Sent(1, size)},
         )
+
+
+class AddressTests(unittest.IsolatedAsyncioTestCase):
+    """Addresses that somebody else has written."""
+
+    async def test_address_that_no_socket_takes(self) -> None:
+        """A message to it is not sent, and those to others are."""
+        peers = network_for(self)
+        for address in ('a b:80', '-:80', '*:80', '127.0.0.1', ''):
+            with self.subTest(address=address):
+                self.assertFalse(peers.send(address, {'kind': 'x'}))
+                self.assertTrue(peers.send('127.0.0.1:9', {'kind': 'x'}))
+                self.assertEqual(list(peers.senders), ['127.0.0.1:9'])
