A quota handed over with a level of nan or inf is left out

It would have stayed in the bucket of the new home for good. The range stands in the schema. Seen before the change, test_odd_handover: "AssertionError: True != False" for nan, inf and -inf.

--- a/src/bilberryglade_schema/peer.py
+++ b/src/bilberryglade_schema/peer.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, NotRequired, TypeAlias
+from typing import Annotated, Any, Literal, NotRequired, TypeAlias
+
+from msgspec import Meta
 
 from typing_extensions import TypedDict
 
 Peer: TypeAlias = Any
 
 
+Level: TypeAlias = Annotated[float, Meta(ge=-1000000000, le=1000000000)]
+
+
 class Header(TypedDict, closed=True):
     """
     A header of an HTTP message; names are lower case.
@@ -301,5 +306,5 @@
     organisation: str
     limit: str
     term: int
-    level: float
+    level: Level
     given: int
