An entry from a later age does not keep its target's own ones out

An odd entry under a known name, born in ten thousand years, was taken for a later life: the target's own entries counted as older from then on, and a target that left was still used. Seen before the change, test_foreign_entries test_last_good_entry_holds, "born in a later age": "AssertionError: False is not true" (leaving).

--- a/src/bilberryglade/_knowledge/tests/test_foreign_entries.py
+++ b/src/bilberryglade/_knowledge/tests/test_foreign_entries.py
@@ -86,6 +86,7 @@
         for field in ('slots', 'seq', 'born')
         for name, number in NO_COUNTS.items()
     },
+    'born in a later age': _with_number('born', '4102444800001'),
     'no places': _with_number('slots', '0'),
     'too many places': _with_number('slots', '65536'),
     **{
--- a/src/bilberryglade_schema/provider.py
+++ b/src/bilberryglade_schema/provider.py
@@ -12,6 +12,9 @@
 Whole: TypeAlias = Annotated[int, Meta(ge=0, le=9007199254740991)]
 
 
+Moment: TypeAlias = Annotated[int, Meta(ge=0, le=4102444800000)]
+
+
 Places: TypeAlias = Annotated[int, Meta(ge=1, le=65535)]
 
 
@@ -195,7 +198,7 @@
     state: Literal['ready', 'draining']
     warmup_left: NotRequired[TimeLeft]
     seq: Whole
-    born: NotRequired[Whole]
+    born: NotRequired[Moment]
 
 
 class AppendAnswer(TypedDict):
