--- a/src/bilberryglade_schema/provider.py
+++ b/src/bilberryglade_schema/provider.py
@@ -2,11 +2,49 @@
 
 from __future__ import annotations
 
-from typing import Any, Literal, NotRequired, TypeAlias, TypedDict
+from typing import Annotated, Any, Literal, NotRequired, TypeAlias, TypedDict
+
+from msgspec import Meta
 
 Provider: TypeAlias = Any
 
 
+Whole: TypeAlias = Annotated[int, Meta(ge=0, le=9007199254740991)]
+
+
+Moment: TypeAlias = Annotated[int, Meta(ge=0, le=4102444800000)]
+
+
+Places: TypeAlias = Annotated[int, Meta(ge=1, le=65535)]
+
+
+Address: TypeAlias = Annotated[str, Meta(pattern='^((25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])\\.){3}(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9]):([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])$(?!\\n)')]
+
+
+TimeLeft: TypeAlias = Annotated[str, Meta(pattern='^-?([0-9]{1,8}(\\.[0-9]{1,20})?(e-[0-9]{1,2})?ms|[0-9]{1,5}(\\.[0-9]{1,20})?(e-[0-9]{1,2})?s)$(?!\\n)')]
+
+
+Duration: TypeAlias = Annotated[str, Meta(pattern='^([0-9]{1,8}(\\.[0-9]{1,20})?(e-[0-9]{1,2})?ms|[0-9]{1,5}(\\.[0-9]{1,20})?(e-[0-9]{1,2})?s)$(?!\\n)')]
+
+
+Rank: TypeAlias = Annotated[int, Meta(ge=-9007199254740991, le=9007199254740991)]
+
+
+Rate: TypeAlias = Annotated[float, Meta(ge=0, le=1000000000)]
+
+
+LoadFigure: TypeAlias = Annotated[float, Meta(ge=0, le=1000000)]
+
+
+LoadFigures: TypeAlias = Annotated[list[LoadFigure], Meta(min_length=3, max_length=16)]
+"""
+A target's requests running and waiting, its places, and the time that work takes in percent of the usual; more may come.
+"""
+
+
+Patience: TypeAlias = Annotated[float, Meta(ge=-1000000000000, le=1000000000000)]
+
+
 class ProcessLimits(TypedDict):
     """
     What this process may use.
@@ -78,7 +116,7 @@
     """
 
     service: str
-    weight: float
+    weight: Rate
 
 
 class RouteRow(TypedDict):
@@ -90,11 +128,11 @@
     hostname: str
     path_prefix: str
     route_type: str
-    timeout: str
-    target_latency: NotRequired[str | None]
-    priority: NotRequired[int | None]
+    timeout: Duration
+    target_latency: NotRequired[Duration | None]
+    priority: NotRequired[Rank | None]
     service: NotRequired[str | None]
-    attempts: NotRequired[int | None]
+    attempts: NotRequired[Whole | None]
     public: NotRequired[bool | None]
     traffic_split: NotRequired[list[SplitPart] | None]
 
@@ -107,8 +145,8 @@
     name: str
     health_check: NotRequired[str | None]
     max_connections: NotRequired[int | None]
-    warmup: NotRequired[str | None]
-    warmup_per_s: NotRequired[float | None]
+    warmup: NotRequired[Duration | None]
+    warmup_per_s: NotRequired[Rate | None]
     sharded: NotRequired[bool | None]
     warm: NotRequired[str | None]
 
@@ -120,9 +158,9 @@
 
     name: str
     api_keys: list[str]
-    priority: NotRequired[int | None]
-    rate_per_s: NotRequired[float | None]
-    burst: NotRequired[float | None]
+    priority: NotRequired[Rank | None]
+    rate_per_s: NotRequired[Rate | None]
+    burst: NotRequired[Rate | None]
 
 
 class LimitsTable(TypedDict):
@@ -130,10 +168,10 @@
     What a caller may send, and how long it may stay idle.
     """
 
-    max_header_bytes: NotRequired[int]
-    max_body_bytes: NotRequired[int]
-    header_timeout: NotRequired[str]
-    idle_timeout: NotRequired[str]
+    max_header_bytes: NotRequired[Whole]
+    max_body_bytes: NotRequired[Whole]
+    header_timeout: NotRequired[Duration]
+    idle_timeout: NotRequired[Duration]
 
 
 class ConfigValue(TypedDict):
@@ -141,7 +179,7 @@
     A configuration in full.
     """
 
-    config_version: int
+    config_version: Rank
     routes: Columns
     services: Columns
     tenants: NotRequired[Columns]
@@ -154,13 +192,13 @@
     """
 
     service: str
-    address: str
+    address: Address
     zone: str
-    slots: int
+    slots: Places
     state: Literal['ready', 'draining']
-    warmup_left: NotRequired[str]
-    seq: int
-    born: NotRequired[int]
+    warmup_left: NotRequired[TimeLeft]
+    seq: Whole
+    born: NotRequired[Moment]
 
 
 class AppendAnswer(TypedDict):
@@ -168,8 +206,8 @@
     Where records were appended.
     """
 
-    offset: int
-    end: int
+    offset: Whole
+    end: Whole
 
 
 class NewestItem(TypedDict):
@@ -179,7 +217,7 @@
 
     key: str
     value: str
-    offset: int
+    offset: Whole
 
 
 class NewestAnswer(TypedDict):
@@ -187,9 +225,9 @@
     A page of the newest record of each key.
     """
 
-    items: list[NewestItem]
+    items: list[Any]
     has_more: bool
-    end: int
+    end: Whole
 
 
 class SelfTable(TypedDict):
