An answer with an empty or odd length is none

Callers of an answer with the header 'Content-Length:' and no number got a 200 with an empty body, framed as whole, and the target's signature: the library takes no text for no body, and only the number of different lengths was looked at, not whether it is one. int() also takes '+5', '0_5', '-0' and digits of other scripts.

A length consists of digits now, or the answer is lost.

--- a/src/bilberryglade/_targets/answers.py
+++ b/src/bilberryglade/_targets/answers.py
@@ -1,6 +1,7 @@
 """Answers of targets: whole and framed, or not taken as answers."""
 
 import contextlib
+import re
 import typing
 
 import aiosonic
@@ -9,6 +10,8 @@
 
 NO_BODY_STATUSES: typing.Final = frozenset((204, 304))
 FINAL_STATUS: typing.Final = 200
+#: What a length consists of; `int` takes signs, underscores and more.
+LENGTH: typing.Final = re.compile('[0-9]+')
 RUN_STATE: typing.Final = outcomes.Header('run-state', 'not-started')
 HOP_HEADERS: typing.Final = frozenset(
     (
@@ -43,7 +46,7 @@
     lengths = {
         text for name, text in raw_headers(response) if name == 'content-length'
     }
-    return len(lengths) == 1
+    return len(lengths) == 1 and bool(LENGTH.fullmatch(lengths.pop()))
 
 
 async def read_body(
--- /dev/null
+++ b/src/bilberryglade/_targets/tests/test_damaged_answers.py
@@ -0,0 +1,65 @@
+"""Answers whose framing is damaged: none of them counts as an answer."""
+
+import typing
+import unittest
+
+from bilberryglade._targets import sender
+from bilberryglade._targets.tests import raw_target
+from bilberryglade._values import outcomes
+
+SECONDS: typing.Final = 2.0
+MOST_BYTES: typing.Final = 100_000
+LOST: typing.Final = outcomes.Unknown(outcomes.Reason.answer_lost)
+
+
+class DamageCase(unittest.IsolatedAsyncioTestCase):
+    """Sends calls to raw targets."""
+
+    async def ask(self, raw: bytes) -> outcomes.Outcome:
+        """Returns what came of a call that was answered by `raw`."""
+        target = raw_target.RawTarget(raw_target.answering(raw))
+        address = await target.start()
+        http = sender.Sender(2, MOST_BYTES)
+        call = sender.Call(address, 'GET', '/', {}, b'', SECONDS)
+        outcome = await http.send(call, on_fresh=False)
+        await http.close()
+        await target.stop()
+        return outcome
+
+    async def check_lost(self, *raws: bytes) -> None:
+        """Checks that none of them is an answer."""
+        for raw in raws:
+            with self.subTest(raw=raw):
+                self.assertEqual(await self.ask(raw), LOST)
+
+    async def check_hello(self, *raws: bytes) -> None:
+        """Checks that each of them is an answer with the same body."""
+        for raw in raws:
+            with self.subTest(raw=raw):
+                outcome = await self.ask(raw)
+                assert isinstance(outcome, outcomes.Answered), outcome
+                self.assertEqual(outcome.body, b'hello')
+
+
+class LengthTests(DamageCase):
+    """Lengths."""
+
+    async def test_length_that_is_no_number(self) -> None:
+        """An empty one is not 0: the body would be taken for empty."""
+        bad = ('', ' ', '-0', '-5', '+5', '0_5', '5, 5', '0x5', '5.0', '\u0665')
+        await self.check_lost(
+            *(ok(f'content-length:{length}\r\n\r\nhello') for length in bad)
+        )
+
+    async def test_length_that_is_a_number(self) -> None:
+        """White space around it and copies of it do no harm."""
+        await self.check_hello(
+            ok('content-length:5\r\n\r\nhello'),
+            ok('Content-Length: \t5 \r\n\r\nhello'),
+            ok('content-length: 5\r\ncontent-length: 5\r\n\r\nhello'),
+        )
+
+
+def ok(rest: str) -> bytes:
+    """Returns an answer from the end of its first line on."""
+    return f'HTTP/1.1 200 OK\r\n{rest}'.encode()
--- a/src/bilberryglade/platform/tests/test_cut_answers.py
+++ b/src/bilberryglade/platform/tests/test_cut_answers.py
@@ -68,6 +68,7 @@
         'late foreign answer, then own': b''.join((late, own)),
         'no length': marked(b'Connection: close\r\n\r\nhello, there'),
         'different lengths': marked(b'Content-Length: 4\r\n', FRAMED_HELLO),
+        'length that is no number': marked(b'Content-Length:\r\n\r\nhello'),
         'no mark': own.replace(cutting.SIGNATURE.encode(), b''),
     }
 
