An answer in other codings than chunks, or with a length as well, is none

An answer with 'Transfer-Encoding: gzip, chunked' was passed on as it lay below its chunks, without the header that names the coding: a body that is not the target's, framed as whole. 'gzip' with a length was read by that length, and of chunks with a length the chunks were believed, although one of the two is wrong.

An answer is framed by the coding 'chunked' alone, or by a length alone.

--- a/src/bilberryglade/_targets/answers.py
+++ b/src/bilberryglade/_targets/answers.py
@@ -12,6 +12,8 @@
 FINAL_STATUS: typing.Final = 200
 #: What a length consists of; `int` takes signs, underscores and more.
 LENGTH: typing.Final = re.compile('[0-9]+')
+#: The transfer codings, in lower case, of an answer in chunks.
+CHUNKED: typing.Final = ('chunked',)
 RUN_STATE: typing.Final = outcomes.Header('run-state', 'not-started')
 HOP_HEADERS: typing.Final = frozenset(
     (
@@ -36,16 +38,18 @@
     """Tells whether the end of a final answer can be told from a cut.
 
     An answer that ends when its connection closes looks whole wherever the
-    target died, and an interim answer (1xx) is not the request's own.
+    target died, and an interim answer (1xx) is not the request's own. No
+    coding but chunks is undone, and chunks with a length are contradictory.
     """
     status = response.status_code
     if status < FINAL_STATUS:
         return False
-    if method == 'HEAD' or status in NO_BODY_STATUSES or response.chunked:
+    if method == 'HEAD' or status in NO_BODY_STATUSES:
         return True
-    lengths = {
-        text for name, text in raw_headers(response) if name == 'content-length'
-    }
+    codings = tuple(map(str.lower, texts_of(response, 'transfer-encoding')))
+    lengths = set(texts_of(response, 'content-length'))
+    if codings:
+        return codings == CHUNKED and not lengths
     return len(lengths) == 1 and bool(LENGTH.fullmatch(lengths.pop()))
 
 
@@ -81,6 +85,11 @@
     return RUN_STATE in headers
 
 
+def texts_of(response: aiosonic.HttpResponse, wanted: str) -> list[str]:
+    """Returns the texts of a header's copies, in order."""
+    return [text for name, text in raw_headers(response) if name == wanted]
+
+
 def raw_headers(response: aiosonic.HttpResponse) -> list[tuple[str, str]]:
     """Returns names in lower case with their texts, in order."""
     return [(name.lower(), text) for name, text in response.raw_headers]
--- a/src/bilberryglade/_targets/tests/test_damaged_answers.py
+++ b/src/bilberryglade/_targets/tests/test_damaged_answers.py
@@ -60,6 +60,34 @@
         )
 
 
+class CodingTests(DamageCase):
+    """Transfer codings."""
+
+    async def test_coding_that_is_not_undone(self) -> None:
+        """What lies below another coding would be taken for the body."""
+        chunks = '\r\n\r\n5\r\nhello\r\n0\r\n\r\n'
+        length = '\r\ncontent-length: 5\r\n\r\nhello'
+        await self.check_lost(
+            ok(f'transfer-encoding: gzip, chunked{chunks}'),
+            ok(f'transfer-encoding: chunked, chunked{chunks}'),
+            ok(
+                f'transfer-encoding: gzip\r\ntransfer-encoding: chunked{chunks}'
+            ),
+            ok(f'transfer-encoding: chunked\r\ncontent-length: 4{chunks}'),
+            ok(f'transfer-encoding: chunked, gzip{length}'),
+            ok(f'transfer-encoding: gzip{length}'),
+            ok(f'transfer-encoding:{length}'),
+        )
+
+    async def test_chunks_alone(self) -> None:
+        """Letters of any case name the coding."""
+        chunks = '\r\n\r\n5\r\nhello\r\n0\r\n\r\n'
+        await self.check_hello(
+            ok(f'transfer-encoding:chunked{chunks}'),
+            ok(f'Transfer-Encoding: Chunked {chunks}'),
+        )
+
+
 def ok(rest: str) -> bytes:
     """Returns an answer from the end of its first line on."""
     return f'HTTP/1.1 200 OK\r\n{rest}'.encode()
