A chunk whose size is damaged or that does not end there is lost

A chunk was read by int(text, 16), and the two bytes after it were dropped unseen. An answer whose chunk names a size below its own gave a body that the target never sent, with its signature: '3', 'hello' and then '5', 'hello' gave 'helhello'. A size of '-0' ended an answer, '-2' was an empty chunk, and '0x5', '0_5', '+5' and ' 5' passed. Whole answers with extensions of chunks, on the other hand, were lost.

A size is hexadecimal digits alone, extensions are left out, and each chunk is followed by a line end, or the answer is lost.

--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -11,6 +11,7 @@
 from aiosonic import connection, connectors, exceptions, pools
 
 from bilberryglade._http import resolver
+from bilberryglade._targets import lines
 
 #: Idle time after which a kept connection is closed instead of used.
 IDLE_MS: typing.Final = 2000
@@ -22,6 +23,7 @@
 MOST_CHUNK_BYTES: typing.Final = 16_777_216
 #: Value of SO_LINGER: on, for 0 seconds.
 RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
+CRLF: typing.Final = b'\r\n'
 #: Headers that tell where a body ends.
 FRAMING_HEADERS: typing.Final = (b'content-length:', b'transfer-encoding:')
 #: Framing headers, without white space, of an answer that has no body.
@@ -64,6 +66,8 @@
         self.reads_headers = False
         #: Bytes of the head that is being read.
         self.head_size = 0
+        #: Whether the size of the last chunk, 0, was read.
+        self.is_last_read = False
         #: Framing headers of the answer that is being read.
         self.framing: set[bytes] = set()
 
@@ -87,6 +91,7 @@
     async def readuntil(self, separator: bytes = b'\n') -> bytes:
         """Reads the status line; header lines follow."""
         self.reads_headers = True
+        self.is_last_read = False
         self.head_size = 0
         self.framing = set()
         return bytes(await super().readuntil(separator))
@@ -97,7 +102,7 @@
         if not line.endswith(b'\n'):
             raise exceptions.ConnectionDisconnected
         if not self.reads_headers:
-            return line
+            return self._between_chunks(line)
         self.head_size += len(line)
         if self.head_size > MOST_HEAD_BYTES:
             raise exceptions.HttpParsingError('head without end')
@@ -110,10 +115,16 @@
         return line
 
     async def readexactly(self, size: int) -> bytes:
-        """Reads a piece of a body, unless it is too long to be kept."""
+        """Reads a piece of a body, unless it is too long to be kept.
+
+        A chunk comes with the line end that follows it.
+        """
         if size > MOST_CHUNK_BYTES:
             raise exceptions.HttpParsingError('chunk too long')
-        return bytes(await super().readexactly(size))
+        piece = bytes(await super().readexactly(size))
+        if self.blocked and not piece.endswith(CRLF):
+            raise exceptions.HttpParsingError('chunk without its end')
+        return piece
 
     def release(self) -> None:
         """Closes the connection unless a framed answer was read whole.
@@ -126,6 +137,14 @@
             self.close()
         super().release()
 
+    def _between_chunks(self, line: bytes) -> bytes:
+        """Returns the size that the library reads from a line, or its end."""
+        if self.is_last_read:
+            return line
+        size = lines.chunk_size(line)
+        self.is_last_read = not size.strip(b'0')
+        return size
+
     async def _connection_made(self) -> None:  # noqa: WPS437
         """Makes the connection end at once when it is closed or goes silent.
 
--- a/src/bilberryglade/_targets/tests/test_damaged_answers.py
+++ b/src/bilberryglade/_targets/tests/test_damaged_answers.py
@@ -88,6 +88,38 @@
         )
 
 
+class ChunkTests(DamageCase):
+    """Chunks, what stands between them, and what follows the last one."""
+
+    async def test_damaged_size(self) -> None:
+        """`int` takes signs, underscores and prefixes; a size has none."""
+        sizes = ('', '+5', '0x5', '0_5', '\u0665', '5 5', ' 5', '-2', '-0', 'g')
+        await self.check_lost(
+            *(chunked(f'{size}\r\nhello\r\n0\r\n\r\n') for size in sizes),
+            chunked('-0\r\n\r\n'),
+            chunked('5\r\nhello\r\n-0\r\n\r\n'),
+        )
+
+    async def test_chunk_that_does_not_end_where_it_says(self) -> None:
+        """Its bytes are not those that the target meant."""
+        await self.check_lost(
+            chunked('5\r\nhelloXX0\r\n\r\n'),
+            chunked('3\r\nhello5\r\nhello\r\n0\r\n\r\n'),
+        )
+
+    async def test_whole_chunks(self) -> None:
+        """Extensions are read, and left out."""
+        await self.check_hello(
+            chunked('05;a="b"\r\nhello\r\n0;c\r\n\r\n'),
+            chunked('3 \r\nhel\r\n2 ;a\r\nlo\r\n0\r\n\r\n'),
+        )
+
+
+def chunked(rest: str) -> bytes:
+    """Returns an answer in chunks from the first one on."""
+    return ok(f'transfer-encoding: chunked\r\n\r\n{rest}')
+
+
 def ok(rest: str) -> bytes:
     """Returns an answer from the end of its first line on."""
     return f'HTTP/1.1 200 OK\r\n{rest}'.encode()
--- a/src/bilberryglade/platform/tests/test_cut_answers.py
+++ b/src/bilberryglade/platform/tests/test_cut_answers.py
@@ -47,6 +47,9 @@
         'chunks': Whole(
             marked(CHUNKED, b'7\r\nhello, \r\n5\r\nthere\r\n0\r\n\r\n')
         ),
+        'extensions': Whole(
+            marked(CHUNKED, b'c;a=b\r\nhello, there\r\n0\r\n\r\n')
+        ),
         'length of 0': Whole(marked(b'Content-Length: 0\r\n\r\n'), body=b''),
         'bare line feeds': Whole(framed.replace(b'\r\n', b'\n')),
         'no content': Whole(no_content, status=204, body=b''),
