Trailers are read to their end

After the last chunk the library reads one line, whatever it is. An answer that broke off in its trailers, or whose trailers had no end, was taken for whole; the rest of trailers stayed in the connection, which was closed for it, after each answer with trailers.

Trailers count towards the bound on a head.

--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -64,7 +64,7 @@
         """Starts without a connection."""
         super().__init__(pool)
         self.reads_headers = False
-        #: Bytes of the head that is being read.
+        #: Bytes of the head, and of the trailers, that are being read.
         self.head_size = 0
         #: Whether the size of the last chunk, 0, was read.
         self.is_last_read = False
@@ -97,21 +97,17 @@
         return bytes(await super().readuntil(separator))
 
     async def readline(self) -> bytes:
-        """Reads a whole line; the end of the stream is no line."""
-        line = bytes(await super().readline())
-        if not line.endswith(b'\n'):
-            raise exceptions.ConnectionDisconnected
+        """Reads a line of a head, or what stands between chunks.
+
+        After the last chunk this is the empty line that ends its trailers.
+        """
+        line = lines.whole(await super().readline())
         if not self.reads_headers:
-            return self._between_chunks(line)
-        self.head_size += len(line)
-        if self.head_size > MOST_HEAD_BYTES:
-            raise exceptions.HttpParsingError('head without end')
-        if b':' not in line:
-            self.reads_headers = False
-            if line.strip():
-                raise exceptions.HttpParsingError('malformed header line')
-        elif line.lower().startswith(FRAMING_HEADERS):
-            self.framing.add(b''.join(line.lower().split()))
+            return self._size_of(line)
+        self._take_header(line)
+        while self.is_last_read and self.reads_headers:
+            line = lines.whole(await super().readline())
+            self._take_header(line)
         return line
 
     async def readexactly(self, size: int) -> bytes:
@@ -137,12 +133,23 @@
             self.close()
         super().release()
 
-    def _between_chunks(self, line: bytes) -> bytes:
-        """Returns the size that the library reads from a line, or its end."""
-        if self.is_last_read:
-            return line
+    def _take_header(self, line: bytes) -> None:
+        """Takes in a line of a head or of trailers, or its end."""
+        self.head_size += len(line)
+        if self.head_size > MOST_HEAD_BYTES:
+            raise exceptions.HttpParsingError('head without end')
+        if b':' not in line:
+            self.reads_headers = False
+            if line.strip():
+                raise exceptions.HttpParsingError('malformed header line')
+        elif line.lower().startswith(FRAMING_HEADERS):
+            self.framing.add(b''.join(line.lower().split()))
+
+    def _size_of(self, line: bytes) -> bytes:
+        """Returns the size of a chunk; trailers follow the last one's."""
         size = lines.chunk_size(line)
         self.is_last_read = not size.strip(b'0')
+        self.reads_headers = self.is_last_read
         return size
 
     async def _connection_made(self) -> None:  # noqa: WPS437
--- a/src/bilberryglade/_targets/lines.py
+++ b/src/bilberryglade/_targets/lines.py
@@ -12,6 +12,13 @@
 CHUNK_SIZE: typing.Final = re.compile(rb'([0-9A-Fa-f]{1,16})[ \t]*(;.*)?\r?\n')
 
 
+def whole(line: bytes) -> bytes:
+    """Returns a line, or raises if the stream ended within or before it."""
+    if not line.endswith(b'\n'):
+        raise exceptions.ConnectionDisconnected
+    return line
+
+
 def chunk_size(line: bytes) -> bytes:
     """Returns the digits of the line before a chunk, or raises."""
     found = CHUNK_SIZE.fullmatch(line)
--- a/src/bilberryglade/_targets/tests/test_damaged_answers.py
+++ b/src/bilberryglade/_targets/tests/test_damaged_answers.py
@@ -107,13 +107,37 @@
             chunked('3\r\nhello5\r\nhello\r\n0\r\n\r\n'),
         )
 
+    async def test_cut_after_the_last_chunk(self) -> None:
+        """An answer ends with the empty line after its trailers."""
+        last = '5\r\nhello\r\n0\r\n'
+        await self.check_lost(
+            chunked(last),
+            chunked(f'{last}x: y\r\n'),
+            chunked(f'{last}x: y\r\nz: y\r\n'),
+            chunked(f'{last}odd\r\n\r\n'),
+            chunked(''.join((last, 'x: y\r\n' * 20_000))),
+        )
+
     async def test_whole_chunks(self) -> None:
-        """Extensions are read, and left out."""
+        """Extensions and trailers are read, and left out."""
         await self.check_hello(
             chunked('05;a="b"\r\nhello\r\n0;c\r\n\r\n'),
-            chunked('3 \r\nhel\r\n2 ;a\r\nlo\r\n0\r\n\r\n'),
+            chunked('3 \r\nhel\r\n2 ;a\r\nlo\r\n0\r\nx: y\r\nz: y\r\n\r\n'),
         )
 
+    async def test_trailers_are_no_rest(self) -> None:
+        """The next answer over the connection begins after them."""
+        raw = chunked('5\r\nhello\r\n0\r\nx: y\r\nz: y\r\n\r\n')
+        target = raw_target.RawTarget(raw_target.answering(raw, ends=False))
+        call = sender.Call(await target.start(), 'GET', '/', {}, b'', SECONDS)
+        self.addAsyncCleanup(target.stop)
+        http = sender.Sender(2, MOST_BYTES)
+        for _ in range(3):
+            outcome = await http.send(call, on_fresh=False)
+            self.assertEqual(outcome, outcomes.Answered(200, (), b'hello'))
+        self.assertEqual(target.connections, 1)
+        await http.close()
+
 
 def chunked(rest: str) -> bytes:
     """Returns an answer in chunks from the first one on."""
--- a/src/bilberryglade/platform/tests/test_cut_answers.py
+++ b/src/bilberryglade/platform/tests/test_cut_answers.py
@@ -47,8 +47,8 @@
         'chunks': Whole(
             marked(CHUNKED, b'7\r\nhello, \r\n5\r\nthere\r\n0\r\n\r\n')
         ),
-        'extensions': Whole(
-            marked(CHUNKED, b'c;a=b\r\nhello, there\r\n0\r\n\r\n')
+        'trailers': Whole(
+            marked(CHUNKED, b'c;a=b\r\nhello, there\r\n0\r\nA: b\r\n\r\n')
         ),
         'length of 0': Whole(marked(b'Content-Length: 0\r\n\r\n'), body=b''),
         'bare line feeds': Whole(framed.replace(b'\r\n', b'\n')),
@@ -187,6 +187,7 @@
             'small chunks': (chunked, b'1\r\nx\r\n' * 1000),
             'extension of a chunk': (marked(CHUNKED, b'5;a='), block),
             'trailer': (marked(CHUNKED, b'0\r\nX-A: '), block),
+            'trailers': (marked(CHUNKED, b'0\r\n'), b'X-A: b\r\n' * 1000),
         }
         for name, (first, more) in floods.items():
             with self.subTest(name=name):
@@ -207,6 +208,7 @@
             'headers': (marked(), b'X-A: b\r\n'),
             'body': (marked(b'Content-Length: 99999\r\n\r\n'), b'x'),
             'chunks': (chunked, b'1\r\nx\r\n'),
+            'trailers': (marked(CHUNKED, b'0\r\n'), b'X-A: b\r\n'),
         }
         for name, (first, more) in trickles.items():
             with self.subTest(name=name):
