A damaged first line or header makes no answer

The library looks for a status at the beginning of a first line and takes any text with a colon for a header. An answer that was cut in its head and ran into the next one over its connection mixed both: a refusal cut in 'X-Server-Load:' before the target's own answer gave callers a 503, which promises that the request has not run, and '200 ' before a failure's head gave 200. Statuses above 599 and headers with control characters, which cannot be sent on, ended the caller's connection without an answer while the exchange was counted as answered.

First lines and headers are read as RFC 9112 has them, and a line in which another answer begins is none.

--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -94,7 +94,7 @@
         self.is_last_read = False
         self.head_size = 0
         self.framing = set()
-        return bytes(await super().readuntil(separator))
+        return lines.status(await super().readuntil(separator))
 
     async def readline(self) -> bytes:
         """Reads a line of a head, or what stands between chunks.
@@ -138,10 +138,8 @@
         self.head_size += len(line)
         if self.head_size > MOST_HEAD_BYTES:
             raise exceptions.HttpParsingError('head without end')
-        if b':' not in line:
+        if lines.is_end(line):
             self.reads_headers = False
-            if line.strip():
-                raise exceptions.HttpParsingError('malformed header line')
         elif line.lower().startswith(FRAMING_HEADERS):
             self.framing.add(b''.join(line.lower().split()))
 
--- a/src/bilberryglade/_targets/tests/test_damaged_answers.py
+++ b/src/bilberryglade/_targets/tests/test_damaged_answers.py
@@ -9,6 +9,8 @@
 
 SECONDS: typing.Final = 2.0
 MOST_BYTES: typing.Final = 100_000
+#: The rest of an answer after its first line.
+HELLO: typing.Final = 'content-length: 5\r\n\r\nhello'
 LOST: typing.Final = outcomes.Unknown(outcomes.Reason.answer_lost)
 
 
@@ -41,6 +43,49 @@
                 self.assertEqual(outcome.body, b'hello')
 
 
+class HeadTests(DamageCase):
+    """Heads of answers."""
+
+    async def test_damaged_first_line(self) -> None:
+        """No status is read out of it."""
+        first = (
+            'HTTP/1.1 2000 OK',
+            'HTTP/1.1 0200 OK',
+            'HTTP/1.1 700 OK',
+            'HTTP/1.1 \u0662\u0660\u0660 OK',
+            'HTTP/1.1 200OK',
+            'HTTP/1.1 200 O\0K',
+            'HTTP/9.9 200 OK',
+            'HTTP/2 200 OK',
+        )
+        await self.check_lost(
+            *(f'{line}\r\n{HELLO}'.encode() for line in first),
+        )
+
+    async def test_damaged_header(self) -> None:
+        """What callers cannot be sent is no header, and ends no head."""
+        lines = (': b', 'a b: c', 'a : b', ' a: b', 'a: b\rc', 'a: b\0c', ' \t')
+        await self.check_lost(*(ok(f'{line}\r\n{HELLO}') for line in lines))
+
+    async def test_head_that_runs_into_another(self) -> None:
+        """One was cut; what it said is not of the whole one."""
+        refused = 'HTTP/1.1 503 Full\r\nrun-state: not-started\r\nx: '
+        await self.check_lost(
+            b''.join((b'HTTP/1.1 500 ', ok(HELLO))),
+            b''.join((refused.encode(), ok(HELLO))),
+            ok('x: HTTP/1.0 500 Error\r\ncontent-length: 5\r\n\r\nhello'),
+        )
+
+    async def test_whole_heads(self) -> None:
+        """Without a phrase, with bare line feeds, with any text."""
+        await self.check_hello(
+            f'HTTP/1.1 200\r\n{HELLO}'.encode(),
+            f'HTTP/1.1 200 \r\n{HELLO}'.encode(),
+            f'HTTP/1.0 299 HTTP/1.1 \u0665\n{HELLO}'.encode(),
+            ok(f"a:\r\nB!#$%&'*+-.^_`|~9: \t\u0665: HTTP/1.1\r\n{HELLO}"),
+        )
+
+
 class LengthTests(DamageCase):
     """Lengths."""
 
--- a/src/bilberryglade/platform/tests/test_cut_answers.py
+++ b/src/bilberryglade/platform/tests/test_cut_answers.py
@@ -66,9 +66,11 @@
     hints = b'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
     own = marked(FRAMED_HELLO)
     late = own.replace(b'cut-1', b'cut-0')
+    refused = b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Server-Load: '
     return {
         'interim answers, then own': b''.join((interim, hints, own)),
         'late foreign answer, then own': b''.join((late, own)),
+        'refusal cut in its head, then own': b''.join((refused, own)),
         'no length': marked(b'Connection: close\r\n\r\nhello, there'),
         'different lengths': marked(b'Content-Length: 4\r\n', FRAMED_HELLO),
         'length that is no number': marked(b'Content-Length:\r\n\r\nhello'),
