Headers of answers go on in the bytes in which they came

Headers are read as UTF-8 and were written as Latin-1: an answer with a header outside of Latin-1 was lost in a fault of the program (502, with a line), and one with 'é' was changed.

Before: UnicodeEncodeError: 'latin-1' codec can't encode character '\u4e2d' in position 1: ordinal not in range(256).

--- a/src/bilberryglade/platform/front.py
+++ b/src/bilberryglade/platform/front.py
@@ -210,7 +210,7 @@
     if isinstance(outcome, outcomes.Answered):
         response = responses.Response(outcome.body, outcome.status)
         response.raw_headers = [
-            (header.name.encode('latin-1'), header.text.encode('latin-1'))
+            (header.name.encode(), header.text.encode())
             for header in outcome.headers
         ]
         response.headers['content-length'] = str(len(outcome.body))
--- a/src/bilberryglade/platform/tests/test_exchange.py
+++ b/src/bilberryglade/platform/tests/test_exchange.py
@@ -99,6 +99,14 @@
         self.assertEqual(given.headers[headers.SIGNATURE], 's')
         self.assertEqual(given.body, b'body')
 
+    def test_header_in_any_letters(self) -> None:
+        """Its bytes go on as they came; an answer is not lost by them."""
+        named = Header('x-name', '\u00e9\u4e2d')
+        given = front.response_of(
+            samples.incoming(), router.Delivered(answer(200, (*GOOD, named)))
+        )
+        self.assertIn((b'x-name', '\u00e9\u4e2d'.encode()), given.raw_headers)
+
     def test_return_time(self) -> None:
         """A refusal tells when to come back, in seconds."""
         refused = router.Delivered(
