Grants, probes and looks at health outlive answers that break off

A target that broke off its answer to a grant ended the task that gave it: asyncio.IncompleteReadError and ValueError are no OSError. Nothing was noted then, neither that the target failed nor when its lease ends. The same held for probes. An answer in chunks that fell silent held a grant, a probe or a look at its health for good, as only the head was under the time limit.

Grants and probes go through the sender, which makes a value of each end and keeps to the time; a look at health has its time for the whole answer.

--- a/src/bilberryglade/_instance/composition.py
+++ b/src/bilberryglade/_instance/composition.py
@@ -189,7 +189,7 @@
 
     def _wire_ownership(self) -> None:
         self.keeper = holder.Holder(self.reader, self.heartbeats)
-        self.prober = probes.Prober(self.targets.fresh)
+        self.prober = probes.Prober(self.targets.sender)
         self.granter = leases.Leases(self.keeper, self.targets, self.prober)
         self.releases = releases.Releases(
             self.keeper,
--- a/src/bilberryglade/_ownership/probes.py
+++ b/src/bilberryglade/_ownership/probes.py
@@ -3,11 +3,9 @@
 import time
 import typing
 
-import aiosonic
-from aiosonic import exceptions, timeout
-
 from bilberryglade._state import state
-from bilberryglade._values import steps
+from bilberryglade._targets import sender
+from bilberryglade._values import outcomes, steps
 
 PROBE: typing.Final = steps.declare(
     'ownership.probe_target',
@@ -55,7 +53,7 @@
 class Prober:
     """Probes targets and keeps how they stand."""
 
-    def __init__(self, http: aiosonic.HTTPClient) -> None:
+    def __init__(self, http: sender.Sender) -> None:
         """Talks through `http`."""
         self.http = http
         self.standings: dict[str, Standing] = {}
@@ -84,16 +82,8 @@
         self.standings.pop(target, None)
 
     async def _ask(self, address: str) -> bool:
-        limits = timeout.Timeouts(
-            sock_connect=PROBE_SECONDS,
-            request_timeout=PROBE_SECONDS,
-        )
-        try:
-            response = await self.http.get(
-                f'http://{address}/-/health',
-                timeouts=limits,
-            )
-            await response.content()
-        except (exceptions.AiosonicError, exceptions.BaseTimeout, OSError):
+        call = sender.Call(address, 'GET', '/-/health', {}, b'', PROBE_SECONDS)
+        outcome = await self.http.send(call, on_fresh=True)
+        if not isinstance(outcome, outcomes.Answered):
             return False
-        return bool(response.status_code == OK_STATUS)
+        return outcome.status == OK_STATUS
--- a/src/bilberryglade/_ownership/tests/test_probes.py
+++ b/src/bilberryglade/_ownership/tests/test_probes.py
@@ -1,8 +1,17 @@
 """When a target counts as gone, and as live again."""
 
+import asyncio
+import typing
 import unittest
 
 from bilberryglade._ownership import probes
+from bilberryglade._state import state
+from bilberryglade._targets import client
+from bilberryglade._targets.tests import raw_target
+
+TARGET: typing.Final = state.TargetState(
+    't', 'claims', 'a', '127.0.0.1:9', 1, True, 'live', 1
+)
 
 
 class StandingTest(unittest.TestCase):
@@ -35,3 +44,34 @@
             wanted = probes.state_wanted('gone', standing, 0)
             self.assertEqual(wanted, expected)
         self.assertEqual(probes.state_wanted('drained', standing, 0), 'drained')
+
+
+class AskingTest(unittest.IsolatedAsyncioTestCase):
+    """Answers of targets to probes."""
+
+    async def asyncSetUp(self) -> None:
+        """Prepares a client."""
+        self.client = client.TargetClient(raw_target.LIMITS)
+        self.addAsyncCleanup(self.client.close)
+
+    async def test_answers_that_break_off(self) -> None:
+        """They count as failures, and none raises or is waited for."""
+        whole = b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello'
+        chunk = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhe'
+        cases = (
+            (whole, False, True),
+            (whole[:-1], False, False),
+            (whole[:-1], True, False),
+            (chunk, False, False),
+            (chunk, True, False),
+        )
+        for raw, stays, is_well in cases:
+            with self.subTest(raw=raw, stays=stays):
+                answering = raw_target.answering(raw, ends=not stays)
+                target = raw_target.RawTarget(answering)
+                row = TARGET._replace(address=await target.start())
+                prober = probes.Prober(self.client.sender)
+                async with asyncio.timeout(probes.PROBE_SECONDS * 4):
+                    self.assertEqual(await prober.probe(row), is_well)
+                self.assertEqual(prober.is_failing('t'), not is_well)
+                await target.stop()
--- a/src/bilberryglade/_targets/client.py
+++ b/src/bilberryglade/_targets/client.py
@@ -1,9 +1,10 @@
 """HTTP towards targets: one request, one attempt, one outcome."""
 
+import asyncio
 import time
 import typing
 
-from aiosonic import exceptions, timeout
+from aiosonic import timeout
 
 from bilberryglade._codec import codec
 from bilberryglade._targets import answers, connections, sender
@@ -86,20 +87,18 @@
     ) -> bool:
         """Hands out grants; returns whether the target took all of them."""
         batch: platform.GrantBatch = {'grants': grants}
-        limits = timeout.Timeouts(
-            sock_connect=CONNECT_SECONDS,
-            request_timeout=GRANT_SECONDS,
+        call = sender.Call(
+            address=address,
+            method='PUT',
+            path='/-/grants',
+            headers={},
+            body=codec.encode_json(batch),
+            seconds=GRANT_SECONDS,
         )
-        try:
-            response = await self.kept.put(
-                f'http://{address}/-/grants',
-                data=codec.encode_json(batch),
-                timeouts=limits,
-            )
-            await response.content()
-        except (exceptions.AiosonicError, exceptions.BaseTimeout, OSError):
+        outcome = await self.sender.send(call, on_fresh=False)
+        if not isinstance(outcome, outcomes.Answered):
             return False
-        return bool(response.status_code == OK_STATUS)
+        return outcome.status == OK_STATUS
 
     async def has_fallen(self, address: str) -> bool:
         """Tells whether a target refuses connections or says it is down.
@@ -112,11 +111,14 @@
             request_timeout=HEALTH_SECONDS,
         )
         try:
-            response = await self.fresh.get(
-                f'http://{address}/-/health',
-                timeouts=limits,
-            )
-            await response.content()
+            async with asyncio.timeout(HEALTH_SECONDS):
+                response = await self.fresh.request(
+                    f'http://{address}/-/health',
+                    'GET',
+                    timeouts=limits,
+                    stream=True,
+                )
+                await answers.read_body(response, self.limits.answer_bytes)
         except ConnectionRefusedError:
             return True
         except BROKEN_EXCHANGE:
