Reads of the log and the list outlive answers that break off

An answer of the log, or of the list of members, that broke off in its body raised asyncio.IncompleteReadError or ValueError instead of a failure, and ended the loop that read; one in chunks that fell silent was waited for without end, as only its head was under the time limit.

All that the library raises on a broken exchange is a failure now, and the time of a call covers the body.

--- a/src/bilberryglade/_listing/list_client.py
+++ b/src/bilberryglade/_listing/list_client.py
@@ -1,12 +1,14 @@
 """Client of the platform's lagging list of members."""
 
+import asyncio
 import typing
 
 import aiosonic
 import result
-from aiosonic import exceptions, timeout
+from aiosonic import timeout
 
 from bilberryglade._codec import codec
+from bilberryglade._targets import sender
 from bilberryglade_schema import platform
 
 REQUEST_SECONDS: typing.Final = 2.0
@@ -33,16 +35,13 @@
         """Returns the rows of the list; they may be out of date."""
         limits = timeout.Timeouts(request_timeout=REQUEST_SECONDS)
         try:
-            response = await self.http.get(
-                f'{self.url}/members',
-                timeouts=limits,
-            )
-            raw = await response.content()
-        except (
-            exceptions.AiosonicError,
-            exceptions.BaseTimeout,
-            OSError,
-        ) as error:
+            async with asyncio.timeout(REQUEST_SECONDS):
+                response = await self.http.get(
+                    f'{self.url}/members',
+                    timeouts=limits,
+                )
+                raw = await response.content()
+        except sender.BROKEN_EXCHANGE as error:
             return result.Err(ListUnavailable(repr(error)))
         if response.status_code != OK_STATUS:
             return result.Err(ListUnavailable(f'status {response.status_code}'))
--- /dev/null
+++ b/src/bilberryglade/_listing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the client of the list of members."""
--- a/src/bilberryglade/_log/log_client.py
+++ b/src/bilberryglade/_log/log_client.py
@@ -1,14 +1,16 @@
 """Client of the platform's append-only log."""
 
+import asyncio
 import enum
 import typing
 
 import aiosonic
 import result
-from aiosonic import exceptions, timeout
+from aiosonic import timeout
 
 from bilberryglade._codec import codec
 from bilberryglade._state import folding
+from bilberryglade._targets import sender
 from bilberryglade_schema import platform
 
 CONNECT_SECONDS: typing.Final = 1.0
@@ -90,14 +92,15 @@
             request_timeout=timeout_seconds,
         )
         try:
-            response = await self.http.request(
-                url,
-                method,
-                data=body,
-                timeouts=limits,
-            )
-            raw = await response.content()
-        except (exceptions.AiosonicError, exceptions.BaseTimeout, OSError):
+            async with asyncio.timeout(timeout_seconds):
+                response = await self.http.request(
+                    url,
+                    method,
+                    data=body,
+                    timeouts=limits,
+                )
+                raw = await response.content()
+        except sender.BROKEN_EXCHANGE:
             return result.Err(LogFailure.unclear)
         if response.status_code == TOO_LARGE_STATUS:
             return result.Err(LogFailure.too_large)
