The command line outlives an answer that breaks off

An answer of the administration API that broke off in its body ended the command with a stack trace. Of a change, the operator was not told the key under which it can be repeated without taking effect twice; of events, the stream's break was an error of the program.

A break is told as no answer, with the key, or as an instance that cannot be reached, after the lines of events that came.

--- a/src/bilberryglade/_commands/connections.py
+++ b/src/bilberryglade/_commands/connections.py
@@ -17,6 +17,7 @@
 )
 from bilberryglade._codec import codec
 from bilberryglade._operations import operations
+from bilberryglade._targets import sender
 from bilberryglade_schema import admin
 
 ADDRESS_VARIABLE: typing.Final = 'BILBERRYGLADE_ADMIN'
@@ -74,11 +75,7 @@
                 ConnectionRefusedError,
             ) as refused:
                 return result.Err(Unreachable(_words(refused)))
-            except (
-                exceptions.AiosonicError,
-                exceptions.BaseTimeout,
-                OSError,
-            ) as lost:
+            except sender.BROKEN_EXCHANGE as lost:
                 return result.Err(_lost(operation, _words(lost), key))
         return _decoded(operation, response.status_code, raw, key)
 
@@ -91,23 +88,18 @@
         async with aiosonic.HTTPClient() as http:
             try:
                 response = await self._send(http, operation, request, '')
-            except (
-                exceptions.AiosonicError,
-                exceptions.BaseTimeout,
-                OSError,
-            ) as error:
+                if response.status_code != OK_STATUS:
+                    yield _decoded(
+                        operation,
+                        response.status_code,
+                        await response.content(),
+                        '',
+                    )
+                    return
+                async for line in response.iter_lines():
+                    yield result.Ok(line)
+            except sender.BROKEN_EXCHANGE as error:
                 yield result.Err(Unreachable(_words(error)))
-                return
-            if response.status_code != OK_STATUS:
-                yield _decoded(
-                    operation,
-                    response.status_code,
-                    await response.content(),
-                    '',
-                )
-                return
-            async for line in response.iter_lines():
-                yield result.Ok(line)
 
     async def _send(
         self,
