Callers of the first front get headers in the bytes in which they came

An answer with a header outside of Latin-1 ended in an error of the program, and the caller got a 500 for a request that had its answer; one with 'é' was changed.

Before: UnicodeEncodeError: 'latin-1' codec can't encode character '\u4e2d' in position 1: ordinal not in range(256).

--- a/src/bilberryglade/_callers/application.py
+++ b/src/bilberryglade/_callers/application.py
@@ -146,7 +146,10 @@
             status_code=outcome.status,
         )
         for header in forwarding.to_caller(outcome.headers):
-            response.headers.append(header.name, header.text)
+            # They came in UTF-8; the library would write Latin-1.
+            response.raw_headers.append(
+                (header.name.encode(), header.text.encode())
+            )
         return response
 
 
--- a/src/bilberryglade/_callers/tests/test_application.py
+++ b/src/bilberryglade/_callers/tests/test_application.py
@@ -54,6 +54,15 @@
                 answer = await caller_front.call(fake)
                 self.assertEqual(answer.run_state, run_state)
 
+    async def test_headers_in_any_letters(self) -> None:
+        """They go on in the bytes in which they came."""
+        fake = caller_front.Fake()
+        named = outcomes.Header('x-name', '\u00e9\u4e2d')
+        fake.outcome = outcomes.Answered(200, (named,), b'')
+        answer = await caller_front.call(fake)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers['x-name'], named.text)
+
     async def test_open_route_in_isolation(self) -> None:
         """Open routes need young or confirmed knowledge, others do not."""
         cases = (
