Test of requests of the first way whose answers are cut at each byte

Length, chunks, length of 0 and a refusal, for requests that may be repeated and that may not: each cut is a lost answer, whole ones are none. Nothing had to be changed.

--- a/src/bilberryglade/_targets/tests/test_broken_off.py
+++ b/src/bilberryglade/_targets/tests/test_broken_off.py
@@ -1,4 +1,4 @@
-"""Grants and looks at health whose answers break off."""
+"""Requests, grants and looks at health whose answers break off."""
 
 import asyncio
 import typing
@@ -6,12 +6,18 @@
 
 from bilberryglade._targets import client
 from bilberryglade._targets.tests import raw_target
+from bilberryglade._values import outcomes
 
+SECONDS: typing.Final = 2.0
 #: Seconds by which a call may outlast its own limit.
 GRACE_SECONDS: typing.Final = 0.5
 OK: typing.Final = b'HTTP/1.1 200 OK\r\n'
 DOWN: typing.Final = b'HTTP/1.1 503 Down\r\n'
 HELLO: typing.Final = b'content-length: 5\r\n\r\nhello'
+EMPTY: typing.Final = b'content-length: 0\r\n\r\n'
+REFUSED: typing.Final = (
+    b'run-state: not-started\r\ncontent-length: 5\r\n\r\nhello'
+)
 CHUNKS: typing.Final = (
     b'transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n'
 )
@@ -51,6 +57,32 @@
                 with self.subTest(raw=raw[:cut]):
                     self.assertFalse(await self.is_granted(raw[:cut]))
 
+    async def test_request(self) -> None:
+        """Whether a request ran is unknown then, however it is sent."""
+        for raw in (OK + HELLO, OK + CHUNKS, OK + EMPTY, DOWN + REFUSED):
+            for cut, _ in enumerate(raw):
+                with self.subTest(raw=raw[:cut]):
+                    self.assertEqual(
+                        await self.outcomes_of(raw[:cut]), {client.LOST}
+                    )
+            self.assertNotIn(client.LOST, await self.outcomes_of(raw))
+
+    async def outcomes_of(self, raw: bytes) -> set[outcomes.Outcome]:
+        """Returns what became of a request that may be repeated, and not."""
+        target = raw_target.RawTarget(raw_target.answering(raw))
+        address = await target.start()
+        found = {
+            await self.client.run(
+                address,
+                raw_target.request(repeatable=repeatable),
+                raw_target.GRANT,
+                SECONDS,
+            )
+            for repeatable in (True, False)
+        }
+        await target.stop()
+        return found
+
     async def test_fall(self) -> None:
         """Only a whole answer says that a target is down."""
         for raw in (DOWN + HELLO, DOWN + CHUNKS):
