Answers without a body name no length

Answers to HEAD, 204 and 304 got 'content-length: 0', which says of HEAD and 304 that the resource is empty and must not stand in a 204 (RFC 9110, 8.6).

Before, over a whole instance: 'AssertionError: '0' != ''' for each of the three.

--- a/src/bilberryglade/platform/front.py
+++ b/src/bilberryglade/platform/front.py
@@ -11,6 +11,7 @@
 
 from bilberryglade._delivery import router
 from bilberryglade._routing import admission, catalogue
+from bilberryglade._targets import answers
 from bilberryglade._values import clock, leases, outcomes
 from bilberryglade.platform import headers
 
@@ -213,7 +214,8 @@
             (header.name.encode(), header.text.encode())
             for header in outcome.headers
         ]
-        response.headers['content-length'] = str(len(outcome.body))
+        if _has_body(incoming.method, outcome.status):
+            response.headers['content-length'] = str(len(outcome.body))
         return response
     if isinstance(outcome, outcomes.NotRun):
         status = REFUSALS.get(outcome.reason, NOT_RUN_STATUS)
@@ -232,6 +234,11 @@
     return response
 
 
+def _has_body(method: str, status: int) -> bool:
+    """Tells whether an answer has a body, of whose length it tells."""
+    return method != 'HEAD' and status not in answers.NO_BODY_STATUSES
+
+
 async def _body(request: requests.Request, most_bytes: int) -> bytes | None:
     parts: list[bytes] = []
     size = 0
--- a/src/bilberryglade/platform/tests/test_exchange.py
+++ b/src/bilberryglade/platform/tests/test_exchange.py
@@ -107,6 +107,23 @@
         )
         self.assertIn((b'x-name', '\u00e9\u4e2d'.encode()), given.raw_headers)
 
+    def test_length_of_what_has_no_body(self) -> None:
+        """HEAD, 204 and 304 name none: it would not be that of a body."""
+        cases = (
+            ('GET', 200, '4'),
+            ('HEAD', 200, ''),
+            ('GET', 204, ''),
+            ('GET', 304, ''),
+        )
+        for method, status, length in cases:
+            with self.subTest(method=method, status=status):
+                asked = samples.incoming()._replace(method=method)
+                given = front.response_of(
+                    asked, router.Delivered(answer(status))
+                )
+                told = given.headers.get('content-length', '')
+                self.assertEqual(told, length)
+
     def test_return_time(self) -> None:
         """A refusal tells when to come back, in seconds."""
         refused = router.Delivered(
