--- a/src/bilberryglade/_callers/tests/test_application.py
+++ b/src/bilberryglade/_callers/tests/test_application.py
@@ -54,6 +54,16 @@
                 answer = await caller_front.call(fake)
                 self.assertEqual(answer.run_state, run_state)
 
+    async def test_headers_in_any_letters(self) -> None:
+        """They go on in the bytes in which they came."""
+        fake = caller_front.Fake()
+        raw = '\u00e9\u4e2d'.encode()
+        named = outcomes.Header('x-name', raw.decode('latin-1'))
+        fake.outcome = outcomes.Answered(200, (named,), b'')
+        answer = await caller_front.call(fake)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers['x-name'].encode(), raw)
+
     async def test_open_route_in_isolation(self) -> None:
         """Open routes need young or confirmed knowledge, others do not."""
         cases = (
--- a/src/bilberryglade/_listing/list_client.py
+++ b/src/bilberryglade/_listing/list_client.py
@@ -1,5 +1,6 @@
 """Client of the platform's lagging list of members."""
 
+import asyncio
 import typing
 
 import aiosonic
@@ -37,11 +38,12 @@
         """Returns the rows of the list; they may be out of date."""
         limits = timeout.Timeouts(request_timeout=REQUEST_SECONDS)
         try:
-            response = await self.http.get(
-                f'{self.url}/members',
-                timeouts=limits,
-            )
-            raw = await response.content()
+            async with asyncio.timeout(REQUEST_SECONDS):
+                response = await self.http.get(
+                    f'{self.url}/members',
+                    timeouts=limits,
+                )
+                raw = await response.content()
         except sender.BROKEN_EXCHANGE as error:
             return result.Err(ListUnavailable(repr(error)))
         if response.status_code != OK_STATUS:
--- a/src/bilberryglade/_log/log_client.py
+++ b/src/bilberryglade/_log/log_client.py
@@ -1,5 +1,6 @@
 """Client of the platform's append-only log."""
 
+import asyncio
 import enum
 import typing
 
@@ -94,13 +95,14 @@
             request_timeout=timeout_seconds,
         )
         try:
-            response = await self.http.request(
-                url,
-                method,
-                data=body,
-                timeouts=limits,
-            )
-            raw = await response.content()
+            async with asyncio.timeout(timeout_seconds):
+                response = await self.http.request(
+                    url,
+                    method,
+                    data=body,
+                    timeouts=limits,
+                )
+                raw = await response.content()
         except sender.BROKEN_EXCHANGE:
             return result.Err(LogFailure.unclear)
         if response.status_code == TOO_LARGE_STATUS:
--- a/src/bilberryglade/_targets/client.py
+++ b/src/bilberryglade/_targets/client.py
@@ -50,9 +50,7 @@
         self.kept = self.sender.kept
         self.fresh = self.sender.fresh
         #: Nothing that was asked before can be answered on one of these.
-        self.granting = connections.http_client(
-            connections.FreshConnection, limits.connections
-        )
+        self.granting = sender.Sender(limits.connections, limits.answer_bytes)
         #: Monotonic seconds until which kept connections are distrusted.
         self.silent_until: dict[str, float] = {}
 
@@ -91,21 +89,18 @@
     ) -> bool:
         """Hands out grants; returns whether the target took all of them."""
         batch: platform.GrantBatch = {'grants': grants}
-        limits = timeout.Timeouts(
-            sock_connect=CONNECT_SECONDS,
-            request_timeout=GRANT_SECONDS,
+        call = sender.Call(
+            address=address,
+            method='PUT',
+            path='/-/grants',
+            headers={},
+            body=codec.encode_json(batch),
+            seconds=GRANT_SECONDS,
         )
-        try:
-            async with asyncio.timeout(GRANT_SECONDS):
-                response = await self.granting.put(
-                    f'http://{address}/-/grants',
-                    data=codec.encode_json(batch),
-                    timeouts=limits,
-                )
-                await response.content()
-        except BROKEN_EXCHANGE:
+        outcome = await self.granting.send(call, on_fresh=True)
+        if not isinstance(outcome, outcomes.Answered):
             return False
-        return bool(response.status_code == OK_STATUS)
+        return outcome.status == OK_STATUS
 
     async def has_fallen(self, address: str) -> bool:
         """Tells whether a target refuses connections or says it is down.
@@ -119,11 +114,13 @@
         )
         try:
             async with asyncio.timeout(HEALTH_SECONDS):
-                response = await self.fresh.get(
+                response = await self.fresh.request(
                     f'http://{address}/-/health',
+                    'GET',
                     timeouts=limits,
+                    stream=True,
                 )
-                await response.content()
+                await answers.read_body(response, self.limits.answer_bytes)
         except ConnectionRefusedError:
             return True
         except BROKEN_EXCHANGE:
@@ -133,7 +130,7 @@
     async def close(self) -> None:
         """Closes every connection."""
         await self.sender.close()
-        await self.granting.aclose()
+        await self.granting.close()
 
     async def _attempt(
         self,
--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -12,7 +12,7 @@
 from aiosonic import connection, connectors, exceptions, pools
 
 from bilberryglade._http import resolver
-from bilberryglade._targets import marks
+from bilberryglade._targets import lines, marks
 from bilberryglade._values import clock, outcomes
 
 #: Idle time after which a kept connection is closed instead of used.
@@ -25,6 +25,7 @@
 MOST_CHUNK_BYTES: typing.Final = 16_777_216
 #: Value of SO_LINGER: on, for 0 seconds.
 RESET_ON_CLOSE: typing.Final = struct.pack('ii', 1, 0)
+CRLF: typing.Final = b'\r\n'
 #: Headers that tell where a body ends.
 FRAMING_HEADERS: typing.Final = (b'content-length:', b'transfer-encoding:')
 #: Framing headers, without white space, of an answer that has no body.
@@ -78,15 +79,26 @@
         """Starts without a connection."""
         super().__init__(pool)
         self.reads_headers = False
-        #: Bytes of the head that is being read.
+        #: Bytes of the head, and of the trailers, that are being read.
         self.head_size = 0
         #: Status line of the answer that is being read.
         self.status_line = b''
         #: Header lines of the answer that is being read.
         self.head: list[bytes] = []
+        #: Whether the size of the last chunk, 0, was read.
+        self.is_last_read = False
         #: Framing headers of the answer that is being read.
         self.framing: set[bytes] = set()
 
+    @property
+    def reused(self) -> bool:
+        """Never: the library repeats calls that were lost on a reused one."""
+        return False
+
+    @reused.setter
+    def reused(self, _: bool) -> None:
+        """Keeps what `reused` returns."""
+
     def reuse(self, urlparsed: urls.ParseResult, verify: bool) -> bool:
         """Refuses a connection that was closed or holds unread bytes."""
         if self.reader is None or self.reader.at_eof():
@@ -121,38 +133,38 @@
     async def readuntil(self, separator: bytes = b'\n') -> bytes:
         """Reads the status line; header lines follow."""
         self.reads_headers = True
+        self.is_last_read = False
         self.head_size = 0
         self.head = []
         self.framing = set()
-        self.status_line = bytes(await super().readuntil(separator))
+        self.status_line = lines.status(await super().readuntil(separator))
         return self.status_line
 
     async def readline(self) -> bytes:
-        """Reads a whole line; the end of the stream is no line."""
-        line = bytes(await super().readline())
-        if not line.endswith(b'\n'):
-            raise exceptions.ConnectionDisconnected
+        """Reads a line of a head, or what stands between chunks.
+
+        After the last chunk this is the empty line that ends its trailers.
+        """
+        line = lines.whole(await super().readline())
         if not self.reads_headers:
-            return line
-        self.head_size += len(line)
-        if self.head_size > MOST_HEAD_BYTES:
-            raise exceptions.HttpParsingError('head without end')
-        if b':' not in line:
-            self.reads_headers = False
-            if line.strip():
-                raise exceptions.HttpParsingError('malformed header line')
-            self._check_marks()
-            return line
-        self.head.append(line)
-        if line.lower().startswith(FRAMING_HEADERS):
-            self.framing.add(b''.join(line.lower().split()))
+            return self._size_of(line)
+        self._take_header(line)
+        while self.is_last_read and self.reads_headers:
+            line = lines.whole(await super().readline())
+            self._take_header(line)
         return line
 
     async def readexactly(self, size: int) -> bytes:
-        """Reads a piece of a body, unless it is too long to be kept."""
+        """Reads a piece of a body, unless it is too long to be kept.
+
+        A chunk comes with the line end that follows it.
+        """
         if size > MOST_CHUNK_BYTES:
             raise exceptions.HttpParsingError('chunk too long')
-        return bytes(await super().readexactly(size))
+        piece = bytes(await super().readexactly(size))
+        if self.blocked and not piece.endswith(CRLF):
+            raise exceptions.HttpParsingError('chunk without its end')
+        return piece
 
     def release(self) -> None:
         """Closes the connection unless a framed answer was read whole.
@@ -187,6 +199,27 @@
         self.close()
         raise ForeignAnswerError
 
+    def _take_header(self, line: bytes) -> None:
+        """Takes in a line of a head or of trailers, or its end."""
+        self.head_size += len(line)
+        if self.head_size > MOST_HEAD_BYTES:
+            raise exceptions.HttpParsingError('head without end')
+        if lines.is_end(line):
+            self.reads_headers = False
+            if not self.is_last_read:
+                self._check_marks()
+            return
+        self.head.append(line)
+        if line.lower().startswith(FRAMING_HEADERS):
+            self.framing.add(b''.join(line.lower().split()))
+
+    def _size_of(self, line: bytes) -> bytes:
+        """Returns the size of a chunk; trailers follow the last one's."""
+        size = lines.chunk_size(line)
+        self.is_last_read = not size.strip(b'0')
+        self.reads_headers = self.is_last_read
+        return size
+
     async def _connection_made(self) -> None:  # noqa: WPS437
         """Makes the connection end at once when it is closed or goes silent.
 
--- a/src/bilberryglade/platform/tests/test_exchange.py
+++ b/src/bilberryglade/platform/tests/test_exchange.py
@@ -185,6 +185,32 @@
         self.assertEqual(given.headers[headers.SIGNATURE], 's')
         self.assertEqual(given.body, b'body')
 
+    def test_header_in_any_letters(self) -> None:
+        """Its bytes go on as they came; an answer is not lost by them."""
+        raw = '\u00e9\u4e2d'.encode()
+        named = Header('x-name', raw.decode('latin-1'))
+        given = front.response_of(
+            samples.incoming(), router.Delivered(answer(200, (*GOOD, named)))
+        )
+        self.assertIn((b'x-name', raw), given.raw_headers)
+
+    def test_length_of_what_has_no_body(self) -> None:
+        """HEAD, 204 and 304 name none: it would not be that of a body."""
+        cases = (
+            ('GET', 200, '4'),
+            ('HEAD', 200, ''),
+            ('GET', 204, ''),
+            ('GET', 304, ''),
+        )
+        for method, status, length in cases:
+            with self.subTest(method=method, status=status):
+                asked = samples.incoming()._replace(method=method)
+                given = front.response_of(
+                    asked, router.Delivered(answer(status))
+                )
+                told = given.headers.get('content-length', '')
+                self.assertEqual(told, length)
+
     def test_return_time(self) -> None:
         """A refusal tells when to come back, in seconds."""
         refused = router.Delivered(
