Orders of one term end with it, whatever the next one brings

The tasks of a term ended when the coordinator's loop saw that its lease was lost, or when the next term began its tables. An instance that lost the lease and had it again while that loop waited for the store went on with its earlier tables, though another might have given the keys away between the two (OWNER). An order goes out only in the term in which the tables were taken over; tables that were read in one term are not taken over in another.

--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -71,6 +71,8 @@
         self.orders = target_orders
         self.reader = reader
         self.longest_lease = longest_lease
+        #: Term of the lease in which the tables were taken over.
+        self.term = -1
         self.holds: dict[str, tuple[leased.Hold, ...]] = {}
         self.grants: dict[Slot, Grant] = {}
         self.busy: dict[Slot, asyncio.Task[None]] = {}
@@ -92,6 +94,7 @@
     ) -> None:
         """Starts a term: each range of `held` may be leased to its owner."""
         self.stop()
+        self.term = self.lease.term
         now = clock.now()
         self.addresses.learn(addresses)
         self.holds = {
@@ -216,8 +219,12 @@
                 await self._grant(service, entry, target)
 
     def _is_wanted(self, service: str, entry: ranges.Range) -> bool:
-        """Tells whether this instance still gives a range to its owner."""
-        return self.lease.holds and (service, entry) in self.grants
+        """Tells whether this instance still gives a range to its owner.
+
+        Others may have coordinated between two terms of its own.
+        """
+        is_same_term = self.lease.holds and self.lease.term == self.term
+        return is_same_term and (service, entry) in self.grants
 
     def _free_owner(
         self,
--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -171,6 +171,9 @@
         if isinstance(end, result.Err) or end.ok_value < fenced.ok_value:
             await asyncio.sleep(RETRY_SECONDS)
             return
+        if term != self.lease.term:
+            # Others may have written since then.
+            return
         # The last renewal of an owner may still be on its way.
         longest = self.lessor.longest_lease + orders.GRANT_SECONDS
         self.lessor.begin(
--- a/src/bilberryglade/_ownership/tests/test_lessor.py
+++ b/src/bilberryglade/_ownership/tests/test_lessor.py
@@ -25,7 +25,7 @@
         self.reader = mock.Mock(known=knowledge.Knowledge())
         self.list_target(samples.target())
         self.tables = TABLES
-        lease = mock.Mock(holds=True)
+        lease = mock.Mock(holds=True, term=4)
         self.orders = mock.AsyncMock()
         self.orders.grant.return_value = result.Ok(None)
         self.orders.reach.return_value = True
@@ -168,6 +168,18 @@
         self.assertEqual(self.hold(), before)
         self.assertEqual(self.lessor.grants, {})
 
+    async def test_no_order_of_an_earlier_term(self) -> None:
+        """Others may have coordinated between two terms of one instance."""
+        self.orders.grant.reset_mock()
+        self.lessor.grant_places = asyncio.Semaphore(0)
+        self.passed += 1
+        self.lessor.start_orders(self.tables)
+        await asyncio.sleep(0)
+        self.lessor.lease.term += 2
+        self.lessor.grant_places.release()
+        await asyncio.gather(*self.lessor.busy.values())
+        self.orders.grant.assert_not_awaited()
+
 
 class LateReleaseTests(GrantCase):
     """Releases that wait for others while the tables change."""
@@ -202,6 +214,7 @@
             reader,
             10,
         )
+        self.lessor.begin({}, {})
         table = tuple(
             owners.Owned(
                 ranges.Range(first, first + 15, OWNER, 2), is_moving=True
