New fences that are asked for while a record is on its way are kept

When a record was in force all requests for new fences were dropped, also those that came while it was written, for ranges that it keeps. An owner that was out of reach and is back went on under the fence that it had, though it may be a new life. Found by a reviewer. test_new_fence_that_is_asked_for_meanwhile printed 'not found in set()' before. Requests for ranges that stay are kept; the others went with their ranges.

--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -133,7 +133,7 @@
 
     def keep_only(self, slots: abc.Set[Slot]) -> None:
         """Forgets the progress of ranges that are not wanted any more."""
-        self.fenced.clear()
+        self.fenced.intersection_update(slots)
         self.grants = {
             slot: grant for slot, grant in self.grants.items() if slot in slots
         }
--- a/src/bilberryglade/_ownership/tests/test_steward.py
+++ b/src/bilberryglade/_ownership/tests/test_steward.py
@@ -301,6 +301,21 @@
         former = owners.former_of(self.steward.former['s'])
         self.assertIn(self.entry.owner, {one.entry.owner for one in former})
 
+    async def test_new_fence_that_is_asked_for_meanwhile(self) -> None:
+        """An owner that is back may be a new life, and gets its next fence."""
+        slots = owners.slots(self.steward.tables)
+        kept = max(slots, key=lambda slot: slot[1].first)
+        append = self.store.client.append
+
+        async def ask(*arguments: typing.Any) -> object:  # noqa: WPS430
+            self.leasing.fenced.add(kept)
+            return await append(*arguments)
+
+        with mock.patch.object(self, 'append', ask):
+            await self.replace_owner()
+        self.assertIn(kept, owners.slots(self.steward.tables))
+        self.assertIn(kept, self.leasing.fenced)
+
     async def let_orders_begin(self) -> None:
         """Lets what was started go as far as to its first answer."""
         for _ in range(9):
