An order that was never sent leaves what its owner keeps of a lease

What callers saw: two targets held the same keys (OWNER). Cause: while a range that a cut left to its owner is renewed for the first time, the release of the other part cuts the lease on the whole. The piece that is left has the keys, owner and fence of the renewal. If no byte of that went out, both were dropped, and what had stood before, the whole, was not the same range and was not put back: the owner's lease was forgotten, and the keys went to another target without a release. It takes a refused connection in the renewal that follows a move of some keys. Change: taking an order back undoes what that order raised, piece by piece, by what stood on these keys before.

--- a/src/bilberryglade/_ownership/holds.py
+++ b/src/bilberryglade/_ownership/holds.py
@@ -88,10 +88,29 @@
     holds: tuple[Hold, ...],
     before: tuple[Hold, ...],
     entry: ranges.Range,
+    until: float,
 ) -> tuple[Hold, ...]:
-    """Takes back an order of which no byte was sent."""
-    kept = [hold for hold in holds if not _is_same(hold, entry)]
-    kept.extend(hold for hold in before if _is_same(hold, entry))
+    """Takes back an order of which no byte was sent.
+
+    `before` are the holds before it, and `until` is what it was noted with. The
+    keys may have been cut since then.
+    """
+    kept: list[Hold] = []
+    for hold in holds:
+        is_raised = until in {hold.until, hold.unanswered_until}
+        if not is_raised or not _is_part(hold, entry):
+            kept.append(hold)
+            continue
+        kept.extend(
+            known._replace(
+                first=hold.first,
+                last=hold.last,
+                is_released=known.is_released or hold.is_released,
+                handover=hold.handover or known.handover,
+            )
+            for known in before
+            if _is_part(hold, known)
+        )
     return tuple(kept)
 
 
@@ -195,6 +214,15 @@
     yield from (piece for piece in pieces if piece.first <= piece.last)
 
 
+def _is_part(hold: Hold, whole: Hold | ranges.Range) -> bool:
+    """Tells whether a hold is on keys of a lease, under its fence."""
+    return (
+        (hold.owner, hold.fence) == (whole.owner, whole.fence)
+        and hold.first >= whole.first
+        and hold.last <= whole.last
+    )
+
+
 def _is_same(hold: Hold, entry: ranges.Range) -> bool:
     return (hold.first, hold.last, hold.owner, hold.fence) == (
         entry.first,
--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -287,10 +287,8 @@
         seconds = lease_seconds(silence, self.longest_lease)
         sent_at = clock.now()
         before = self.holds.get(service, ())
-        arrives_by = sent_at + orders.GRANT_SECONDS
-        self.holds[service] = leased.ordered(
-            before, entry, leased.lease_end(arrives_by, seconds)
-        )
+        until = leased.lease_end(sent_at + orders.GRANT_SECONDS, seconds)
+        self.holds[service] = leased.ordered(before, entry, until)
         lease = leases.Lease(
             entry.first,
             entry.last,
@@ -301,11 +299,16 @@
         answer = await self.orders.grant(
             leases.Holder(target.name, target.address), lease
         )
+        held = self.holds[service]
         if isinstance(answer, result.Err):
-            self._take_failure((service, entry), before, answer.err_value)
+            self._take_failure((service, entry), answer.err_value)
+            if answer.err_value is leases.Failure.unreachable:
+                self.holds[service] = leased.withdrawn(
+                    held, before, entry, until
+                )
             return
         self.holds[service] = leased.confirmed(
-            self.holds[service], entry, leased.doubt(before, entry)
+            held, entry, leased.doubt(before, entry)
         )
         is_first = not self.grants.get((service, entry), Grant()).until
         self.log.grant(entry, is_first=is_first)
@@ -318,18 +321,13 @@
     def _take_failure(
         self,
         slot: Slot,
-        before: tuple[leased.Hold, ...],
         failure: leases.Failure,
     ) -> None:
-        service, entry = slot
+        entry = slot[1]
         if failure is leases.Failure.fenced:
             self.fenced.add(slot)
         else:
             self.reach.note_failure(entry.owner)
-        if failure is leases.Failure.unreachable:
-            self.holds[service] = leased.withdrawn(
-                self.holds[service], before, entry
-            )
         self.log.failed('grant', entry, entry.owner, failure)
 
 
--- a/src/bilberryglade/_ownership/tests/test_holds.py
+++ b/src/bilberryglade/_ownership/tests/test_holds.py
@@ -58,9 +58,19 @@
     def test_order_never_sent(self) -> None:
         """An order of which no byte went out leaves what was before."""
         known = holds.ordered(self.held, OLD_RANGE, until=60)
-        known = holds.withdrawn(known, self.held, OLD_RANGE)
+        known = holds.withdrawn(known, self.held, OLD_RANGE, until=60)
         self.assertEqual(known, self.held)
 
+    def test_order_never_sent_for_keys_that_were_cut_meanwhile(self) -> None:
+        """What the owner keeps of its earlier range is still its own."""
+        rest = OLD_RANGE._replace(first=150)
+        moved = NEW_RANGE._replace(first=100, last=149)
+        known = holds.ordered(self.held, rest, until=60)
+        known = holds.released(known, 'old', given(moved), '')
+        known = holds.withdrawn(known, self.held, rest, until=60)
+        self.assertTrue(self.blocked(known, 49))
+        self.assertFalse(self.blocked(known, 50))
+
     def test_earlier_life_of_the_new_owner(self) -> None:
         """It is not waited for by its own later life, and is by others."""
         own = OLD_RANGE._replace(owner=ranges.Owner('old', 2), fence=8)
