An order that ended late may have arrived as late

The end of a lease is counted from an arrival within the half second that an order has. Where the loop stands still, so does what bounds that: bytes may be on their way until the order's end is seen. Found by a reviewer by reading. test_confirmed_order_that_left_late and test_unclear_order_that_left_late printed 'not greater than or equal to' with ends 1.5 s too early before.

An order that was seen to end late counts from then. What came of an order is a function of holds (settled); times of leases stand in a module of their own.

--- a/src/bilberryglade/_ownership/holds.py
+++ b/src/bilberryglade/_ownership/holds.py
@@ -34,6 +34,22 @@
     handover: str = ''
 
 
+class Noted(typing.NamedTuple):
+    """An order as it was noted before it was sent."""
+
+    #: What targets might hold before it.
+    before: tuple[Hold, ...]
+    #: Seconds at which it has arrived, or has been given up.
+    arrives_by: float
+    #: Seconds of the lease.
+    seconds: float
+
+    @property
+    def until(self) -> float:
+        """Seconds at which its lease ends for certain."""
+        return lease_end(self.arrives_by, self.seconds)
+
+
 def lease_end(sent_at: float, seconds: float) -> float:
     """Returns when a lease ordered at `sent_at` has ended for certain."""
     return sent_at + seconds * (1 + TARGET_DRIFT_PART) + LEASE_MARGIN_SECONDS
@@ -84,6 +100,27 @@
     )
 
 
+def settled(
+    holds: tuple[Hold, ...],
+    entry: ranges.Range,
+    noted: Noted,
+    failure: leases.Failure | None,
+    now: float,
+) -> tuple[Hold, ...]:
+    """Takes in what came of an order by `now`; `failure` is None if it was taken.
+
+    One that ended later than it should have may have arrived as late: the loop
+    stood still, and with it what bounds an arrival.
+    """
+    if failure is leases.Failure.unreachable:
+        return withdrawn(holds, noted.before, entry, noted.until)
+    if now > noted.arrives_by:
+        holds = ordered(holds, entry, lease_end(now, noted.seconds))
+    if failure is None:
+        return confirmed(holds, entry, doubt(noted.before, entry))
+    return holds
+
+
 def withdrawn(
     holds: tuple[Hold, ...],
     before: tuple[Hold, ...],
--- a/src/bilberryglade/_ownership/lessor.py
+++ b/src/bilberryglade/_ownership/lessor.py
@@ -15,6 +15,7 @@
 from bilberryglade._membership import candidacy
 from bilberryglade._ownership import (
     holds as leased,
+    lease_times,
     order_addresses,
     order_log,
     owners,
@@ -25,21 +26,10 @@
 from bilberryglade._values import clock, leases
 from bilberryglade.platform import orders
 
-#: Seconds of a usual lease: a key of a lost owner is to be served again within
-#: 3 s, and a lost coordinator is mostly replaced before leases end.
-LEASE_SECONDS: typing.Final = 2.8
-RENEWAL_SECONDS: typing.Final = 0.6
-#: Renewals a second from which they follow one another less closely, and the
-#: longest time between two of a range: half of a lease.
-MOST_RENEWALS_PER_SECOND: typing.Final = 160
-LONGEST_RENEWAL_SECONDS: typing.Final = 1.4
 #: Orders on their way at a time, each of grants and of releases: more would
 #: hold up the coordinator's claim, and its lease would end.
 MOST_GRANTS: typing.Final = 24
 MOST_RELEASES: typing.Final = 64
-#: Seconds without the store's word from which leases are made as long as
-#: targets accept, so that they outlast an outage.
-STORE_SILENCE_SECONDS: typing.Final = 1.0
 #: Longest wait for the end of the work on released keys.
 RELEASE_SECONDS: typing.Final = 1.5
 RETRY_SECONDS: typing.Final = 0.3
@@ -79,7 +69,7 @@
         self.log = order_log.OrderLog()
         self.grant_places = asyncio.Semaphore(MOST_GRANTS)
         self.release_places = asyncio.Semaphore(MOST_RELEASES)
-        self.renewal_seconds = RENEWAL_SECONDS
+        self.renewal_seconds = lease_times.RENEWAL_SECONDS
         #: Ranges that need a new fence, since a target saw a higher one.
         self.fenced: set[Slot] = set()
         self.addresses = order_addresses.OrderAddresses(reader)
@@ -145,7 +135,7 @@
     def start_orders(self, tables: owners.Tables) -> None:
         """Starts the orders that are due."""
         now = clock.now()
-        self.renewal_seconds = renewal_seconds(
+        self.renewal_seconds = lease_times.renewal_seconds(
             sum(map(len, tables.services.values()))
         )
         for service, entries in tables.services.items():
@@ -284,11 +274,11 @@
     ) -> None:
         self.addresses.note(entry.owner, target.address)
         silence = clock.now() - self.lease.confirmed_at
-        seconds = lease_seconds(silence, self.longest_lease)
+        seconds = lease_times.lease_seconds(silence, self.longest_lease)
         sent_at = clock.now()
         before = self.holds.get(service, ())
-        until = leased.lease_end(sent_at + orders.GRANT_SECONDS, seconds)
-        self.holds[service] = leased.ordered(before, entry, until)
+        noted = leased.Noted(before, sent_at + orders.GRANT_SECONDS, seconds)
+        self.holds[service] = leased.ordered(before, entry, noted.until)
         lease = leases.Lease(
             entry.first,
             entry.last,
@@ -299,17 +289,9 @@
         answer = await self.orders.grant(
             leases.Holder(target.name, target.address), lease
         )
-        held = self.holds[service]
+        self._take_answer((service, entry), noted, answer)
         if isinstance(answer, result.Err):
-            self._take_failure((service, entry), answer.err_value)
-            if answer.err_value is leases.Failure.unreachable:
-                self.holds[service] = leased.withdrawn(
-                    held, before, entry, until
-                )
             return
-        self.holds[service] = leased.confirmed(
-            held, entry, leased.doubt(before, entry)
-        )
         is_first = not self.grants.get((service, entry), Grant()).until
         self.log.grant(entry, is_first=is_first)
         self.grants[service, entry] = Grant(
@@ -318,11 +300,22 @@
         if is_first:
             self.on_first_grant()
 
-    def _take_failure(
+    def _take_answer(
         self,
         slot: Slot,
-        failure: leases.Failure,
+        noted: leased.Noted,
+        answer: result.Result[None, leases.Failure],
     ) -> None:
+        """Takes in what came of an order, or that nothing did."""
+        service, entry = slot
+        failure = None if isinstance(answer, result.Ok) else answer.err_value
+        self.holds[service] = leased.settled(
+            self.holds[service], entry, noted, failure, clock.now()
+        )
+        if failure is not None:
+            self._take_failure(slot, failure)
+
+    def _take_failure(self, slot: Slot, failure: leases.Failure) -> None:
         entry = slot[1]
         if failure is leases.Failure.fenced:
             self.fenced.add(slot)
@@ -331,17 +324,6 @@
         self.log.failed('grant', entry, entry.owner, failure)
 
 
-def lease_seconds(silence: float, longest: float) -> float:
-    """Returns how long a lease is made after the store's `silence`."""
-    return longest if silence > STORE_SILENCE_SECONDS else LEASE_SECONDS
-
-
-def renewal_seconds(count: int) -> float:
-    """Returns the time between two renewals of each of `count` ranges."""
-    needed = count / MOST_RENEWALS_PER_SECOND
-    return min(max(needed, RENEWAL_SECONDS), LONGEST_RENEWAL_SECONDS)
-
-
 def _nothing() -> None:
     """Stands for nobody who listens."""
 
--- a/src/bilberryglade/_ownership/tests/test_lessor.py
+++ b/src/bilberryglade/_ownership/tests/test_lessor.py
@@ -7,7 +7,13 @@
 import result
 
 from bilberryglade._knowledge import knowledge
-from bilberryglade._ownership import holds, lessor, owners, ranges
+from bilberryglade._ownership import (
+    holds,
+    lease_times,
+    lessor,
+    owners,
+    ranges,
+)
 from bilberryglade._targets import directory
 from bilberryglade._targets.tests import samples
 from bilberryglade._values import clock, leases
@@ -199,6 +205,35 @@
         self.orders.release.assert_not_awaited()
 
 
+class StalledLoopTests(GrantCase):
+    """A loop that stands still while an order is given."""
+
+    async def test_confirmed_order_that_left_late(self) -> None:
+        """Its lease runs from an arrival as late as its answer."""
+        await self.grant_late(result.Ok(None))
+
+    async def test_unclear_order_that_left_late(self) -> None:
+        """The same where the answer was lost."""
+        await self.grant_late(result.Err(leases.Failure.unclear))
+
+    async def grant_late(self, answer: object) -> None:
+        """Renews the lease; the order ends long after it should have."""
+        self.answer = answer
+        self.orders.grant.side_effect = self.late
+        await self.rounds(5)
+        self.assertEqual(self.orders.grant.await_count, 2)
+        self.assertGreaterEqual(
+            self.hold().until,
+            holds.lease_end(self.ended_at, lease_times.LEASE_SECONDS),
+        )
+
+    async def late(self, *_: object) -> object:
+        """Answers after two seconds in which nothing ran."""
+        self.passed += 2
+        self.ended_at = clock.now()
+        return self.answer
+
+
 class ManyRangesTests(unittest.IsolatedAsyncioTestCase):
     """A table of many ranges, all to be granted at once."""
 
@@ -245,9 +280,9 @@
         cases = ((20, 0.6), (96, 0.6), (160, 1.0), (400, 1.4))
         for count, seconds in cases:
             with self.subTest(count=count):
-                found = lessor.renewal_seconds(count)
+                found = lease_times.renewal_seconds(count)
                 self.assertAlmostEqual(found, seconds)
-                self.assertLess(found * 2, lessor.LEASE_SECONDS + 0.1)
+                self.assertLess(found * 2, lease_times.LEASE_SECONDS + 0.1)
 
 
 class CountingOrders:
--- a/src/bilberryglade/_ownership/tests/test_steward.py
+++ b/src/bilberryglade/_ownership/tests/test_steward.py
@@ -251,6 +251,7 @@
         self.leasing.holds['s'] = holds.confirmed(known, held, before=0)
         self.leasing.addresses.note(self.holder, '10.9.9.9:80')
         self.orders = mock.AsyncMock()
+        self.orders.grant.return_value = result.Ok(None)
         self.leasing.orders = self.orders
         self.answer = asyncio.Event()
         self.append = self.store.client.append
--- a/src/bilberryglade/_targets/tests/test_sender.py
+++ b/src/bilberryglade/_targets/tests/test_sender.py
@@ -53,45 +53,33 @@
 class LateCallTests(unittest.IsolatedAsyncioTestCase):
     """A process that stands still between the start of a call and its send."""
 
-    async def asyncSetUp(self) -> None:
-        """The target reads whatever comes."""
-        self.seen: list[bytes] = []
-        self.server = await asyncio.start_server(self.accept, '127.0.0.1', 0)
-        self.addCleanup(self.server.close)
-        self.http = sender.Sender(2, 1000)
-        self.addAsyncCleanup(self.http.close)
-
-    async def accept(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        """Keeps what came, and answers a whole request."""
-        read = await reader.read(1000)
-        if read:
-            self.seen.append(read)
-            writer.write(b'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
-        writer.close()
-
     async def test_nothing_is_sent_after_the_time_of_a_call(self) -> None:
         """Its timers do not see how long the process stood still."""
-        port = self.server.sockets[0].getsockname()[1]
-        call = sender.Call(
-            f'127.0.0.1:{port}', 'POST', '/order', {}, b'', seconds=0.5
+        target = raw_target.RawTarget(
+            raw_target.answering(raw_target.whole(b''), ends=False)
         )
+        address = await target.start()
+        self.addAsyncCleanup(target.stop)
+        http = sender.Sender(2, 1000)
+        self.addAsyncCleanup(http.close)
+        call = sender.Call(address, 'POST', '/order', {}, b'', seconds=0.5)
         began = clock.now()
-        for later, answered in ((0.1, True), (0.6, False)):
-            moments = (began, began + later)
-            with (
-                self.subTest(later=later),
-                mock.patch.object(clock, 'now', side_effect=moments),
-            ):
-                self.seen.clear()
-                outcome = await self.http.send(call, on_fresh=True)
-                await asyncio.sleep(0.05)
-                self.assertEqual(bool(self.seen), answered)
-                if not answered:
-                    self.assertIsInstance(outcome, outcomes.NotRun)
+        for on_fresh in (False, True):
+            for later, sent in ((0.1, 1), (0.6, 0)):
+                seen = len(target.seen)
+                moments = (began, began + later)
+                with (
+                    self.subTest(on_fresh=on_fresh, later=later),
+                    mock.patch.object(clock, 'now', side_effect=moments),
+                ):
+                    outcome = await http.send(call, on_fresh=on_fresh)
+                    await asyncio.sleep(0.05)
+                    self.assertEqual(len(target.seen) - seen, sent)
+                    is_answered = isinstance(outcome, outcomes.Answered)
+                    is_not_run = isinstance(outcome, outcomes.NotRun)
+                    self.assertEqual(
+                        (is_answered, is_not_run), (sent, not sent)
+                    )
 
 
 class LostCallTests(unittest.IsolatedAsyncioTestCase):
