Exploration of leases: stricter on arrivals, stalls, extra answers, configurations

An order that has left arrives though its sender gives it up or ends; only what a cut holds up is taken back with the reset. Whether a grant counts is told from its arrival. Clocks of instances run apart by 2 in 100. Orders leave a turn of the loop after their call, as they do in the library, and an answer counts as a call's own by the same marks as on real connections. New troubles: a loop that stands still and that nobody has frozen, which excuses nothing; answers to requests where those to orders are due; the service leaves the configuration and comes back; instances that start read none.

--- a/src/bilberryglade/_ownership/steward.py
+++ b/src/bilberryglade/_ownership/steward.py
@@ -174,12 +174,11 @@
         if term != self.lease.term:
             # Others may have written since then.
             return
-        # The last renewal of an owner may still be on its way.
         longest = self.lessor.longest_lease + orders.GRANT_SECONDS
         self.lessor.begin(
             {
                 service: (
-                    *(owners.Former(owned.entry, longest) for owned in entries),
+                    *(_owning(owned, longest) for owned in entries),
                     *owners.former_of(self.former.get(service)),
                 )
                 for service, entries in self.tables.services.items()
@@ -356,6 +355,11 @@
         self.tables = self.tables._replace(change=self.tables.change + 1)
 
 
+def _owning(owned: owners.Owned, longest: float) -> owners.Former:
+    """Returns an owner, whose last renewal may still be on its way."""
+    return owners.Former(owned.entry, longest)
+
+
 def _note_plan(
     service: str,
     before: ranges.Table,
--- a/src/bilberryglade/_ownership/tests/lease_explorer.py
+++ b/src/bilberryglade/_ownership/tests/lease_explorer.py
@@ -19,12 +19,15 @@
 from bilberryglade._ownership import lessor
 from bilberryglade._ownership.tests import (
     lease_troubles,
+    lease_words,
     lease_world,
     owner_rules,
     virtual_time,
 )
 from bilberryglade._values import clock
 
+#: Modules whose import registers troubles.
+REGISTERED: typing.Final = (lease_troubles, lease_words)
 #: Virtual seconds of one play, and those before the first trouble.
 PLAY_SECONDS: typing.Final = 22.0
 SETTLE_SECONDS: typing.Final = 2.5
@@ -65,7 +68,7 @@
         loguru.logger.disable('bilberryglade')
     # Tasks of processes that were killed are dropped where they stand.
     with (
-        mock.patch.object(clock, 'now', loop.time),
+        mock.patch.object(clock, 'now', loop.clock),
         mock.patch.object(sys, 'unraisablehook', lambda _: None),
     ):
         loop.set_exception_handler(functools.partial(_take_fault, faults))
--- a/src/bilberryglade/_ownership/tests/lease_instance.py
+++ b/src/bilberryglade/_ownership/tests/lease_instance.py
@@ -33,8 +33,11 @@
     organisations={},
     api_keys={},
 )
+EMPTY: typing.Final = CATALOGUE._replace(version=2, services={})
 #: Seconds of the longest lease that targets take.
 LONGEST_LEASE: typing.Final = 10.0
+#: Seconds that clocks of instances count in a second.
+PACE: typing.Final = (0.99, 1.01)
 #: Seconds between two signs of life of a coordinator, between two looks for
 #: entries that have lapsed, and of a planned stop.
 LEAD_SECONDS: typing.Final = 0.5
@@ -52,6 +55,7 @@
         self.world = world
         self.name = name
         self.process = virtual_time.Process(name)
+        self.process.pace = world.chance.uniform(*PACE)
         own = fleet.Member(name, boot, name, 'a')
         self.fleet = fleet.Fleet(
             own,
@@ -64,7 +68,7 @@
         self.candidacy = candidacy.Candidacy(self.fleet, client)
         self.reader = reading.Reader(self.fleet, client, self.candidacy)
         self.reader.known = knowledge.Knowledge(
-            catalogue=CATALOGUE, domains=immutables.Map(world.domains)
+            catalogue=None, domains=immutables.Map(world.domains)
         )
         self.lessor = lessor.Lessor(
             self.candidacy,
@@ -107,6 +111,10 @@
         domains = known.domains.set(domain, word)
         self.reader.known = known._replace(domains=domains)
 
+    def configure(self, configuration: catalogue.Catalogue) -> None:
+        """Takes in a configuration."""
+        self.reader.known = self.reader.known._replace(catalogue=configuration)
+
     def hear_lead(self, _: messages.Lead) -> None:
         """Stands for the operators' records, which are not modelled."""
 
--- a/src/bilberryglade/_ownership/tests/lease_links.py
+++ b/src/bilberryglade/_ownership/tests/lease_links.py
@@ -1,14 +1,16 @@
 """Calls and messages of one instance in the world of leases."""
 
 import asyncio
+import functools
 import json
 import typing
 from collections import abc
 from urllib import parse as urls
 
 from bilberryglade._ownership.tests import modelled_targets
-from bilberryglade._targets import sender
+from bilberryglade._targets import marks, sender
 from bilberryglade._values import outcomes
+from bilberryglade.platform import headers
 from bilberryglade_stand_ins import store_model
 
 if typing.TYPE_CHECKING:
@@ -21,6 +23,12 @@
 #: Seconds between two looks whether a cut has healed.
 HELD_UP_SECONDS: typing.Final = 0.02
 UNAVAILABLE_STATUS: typing.Final = 503
+#: An answer to some request, which alone has an id.
+EXTRA: typing.Final = outcomes.Answered(
+    store_model.OK,
+    (outcomes.Header(headers.REQUEST_ID, 'r'),),
+    b'',
+)
 
 
 class PeerLink:
@@ -149,13 +157,14 @@
         )
         try:
             async with asyncio.timeout(call.seconds):
-                return await self._exchange(call, on_fresh, answer, way)
+                found = await self._exchange(call, on_fresh, answer, way)
         except TimeoutError:
             if way:
                 return outcomes.Unknown(outcomes.Reason.deadline)
             return outcomes.NotRun(outcomes.Reason.target_unreachable)
         finally:
             answer.cancel()
+        return _own(call, found)
 
     async def _exchange(
         self,
@@ -167,7 +176,10 @@
         """Sends an order, which is noted in `way` then, and waits."""
         world = self.world
         target = self._at(call.address)
-        if on_fresh or world.chance.random() > KEPT_PART:
+        is_kept = not on_fresh and world.chance.random() <= KEPT_PART
+        # The library takes a turn of the loop for itself before it sends.
+        await asyncio.sleep(0)
+        if not is_kept:
             await asyncio.sleep(world.network.transit())
             if target is None:
                 return outcomes.NotRun(outcomes.Reason.target_unreachable)
@@ -175,6 +187,8 @@
                 await asyncio.sleep(CONNECT_SECONDS)
                 return outcomes.NotRun(outcomes.Reason.target_unreachable)
         way.append(call.address)
+        if is_kept and world.chance.random() < world.order_troubles.extra_part:
+            world.later(world.network.transit(), _give, answer, EXTRA)
         instance = world.instances.get(self.name)
         delay = world.network.transit()
         delay += world.chance.uniform(0, world.network.order_delay)
@@ -198,11 +212,17 @@
         answer: 'asyncio.Future[outcomes.Outcome]',
         instance: 'lease_instance.Instance',
         meant: modelled_targets.Target | None,
+        *,
+        is_held_up: bool = False,
     ) -> None:
-        """Lets an order arrive, unless its sender has reset it meanwhile."""
+        """Lets an order arrive.
+
+        A sender that gives it up or ends takes back only what a cut holds up.
+        """
         world = self.world
         target = self._at(call.address)
-        if answer.done() or instance.process.is_dead:
+        is_given_up = answer.done() or instance.process.is_dead
+        if is_held_up and is_given_up:
             return
         if target is None or meant is not target:
             refused = outcomes.Unknown(outcomes.Reason.answer_lost)
@@ -211,7 +231,12 @@
         if world.network.is_cut(self.name, target.name):
             # Bytes that a cut holds up arrive when it heals.
             world.later(
-                HELD_UP_SECONDS, self._arrive, call, answer, instance, meant
+                HELD_UP_SECONDS,
+                functools.partial(self._arrive, is_held_up=True),
+                call,
+                answer,
+                instance,
+                meant,
             )
             return
         lost = world.chance.random() < world.order_troubles.lost_part
@@ -265,7 +290,7 @@
         world = self.world
         order = modelled_targets.understood(call)
         now = world.now()
-        excused = world.is_excused(self.name, target.name)
+        excused = world.is_excused(self.name, target.name, arrived_at)
         status = target.grant(arrived_at, order, counts=not excused)
         if status == modelled_targets.OK_STATUS and not excused:
             modelled_targets.look(
@@ -286,6 +311,15 @@
         return target.release(now, order, work) - now
 
 
+def _own(call: sender.Call, found: outcomes.Outcome) -> outcomes.Outcome:
+    """Returns an answer if it is the call's own, as connections tell."""
+    if not isinstance(found, outcomes.Answered):
+        return found
+    if marks.are_own(call.marked, found.status, found.headers):
+        return found
+    return outcomes.Unknown(outcomes.Reason.answer_lost)
+
+
 def _give(
     answer: 'asyncio.Future[outcomes.Outcome] | None',
     outcome: outcomes.Outcome,
--- a/src/bilberryglade/_ownership/tests/lease_troubles.py
+++ b/src/bilberryglade/_ownership/tests/lease_troubles.py
@@ -233,6 +233,22 @@
         instance.process.cost = 0
 
 
+@troubles.register('coordinator stalls')
+async def stalls(world: lease_world.World) -> None:
+    """The coordinator's loop stands still for a moment, several times.
+
+    Nobody has frozen it, so that nothing is excused.
+    """
+    for _ in range(world.chance.randint(1, 6)):
+        held = [world.instances[name] for name in world.coordinators()]
+        for instance in held:
+            world.loop.freeze(instance.process)
+        await asyncio.sleep(world.chance.uniform(0.2, 1.5))
+        for instance in held:
+            world.loop.thaw(instance.process)
+        await asyncio.sleep(world.chance.uniform(0.05, 0.5))
+
+
 @troubles.register('coordinator cut from the store')
 async def coordinator_cut(world: lease_world.World) -> None:
     """The coordinator cannot renew its lease."""
--- a/src/bilberryglade/_ownership/tests/lease_world.py
+++ b/src/bilberryglade/_ownership/tests/lease_world.py
@@ -18,6 +18,7 @@
     owner_rules,
     virtual_time,
 )
+from bilberryglade._routing import catalogue
 from bilberryglade.platform.tests import samples
 from bilberryglade_schema import fleet as messages
 from bilberryglade_stand_ins import store_model
@@ -69,6 +70,9 @@
         self.targets: list[modelled_targets.Target] = []
         self.domains: dict[str, knowledge.Domain] = {}
         self.operator_offset = 0
+        self.configuration = lease_instance.CATALOGUE
+        #: Seconds for which instances that start read no configuration.
+        self.unread_seconds: float = 0
         self.instances: dict[str, lease_instance.Instance] = {}
         self.graveyard: list[lease_instance.Instance] = []
         self.boots = 0
@@ -105,6 +109,16 @@
                 self.chance.uniform(0.001, 0.5), instance.learn, domain, word
             )
 
+    def configure(self, configuration: catalogue.Catalogue) -> None:
+        """Puts a configuration in force."""
+        self.configuration = configuration
+        for instance in self.instances.values():
+            self.later(
+                self.chance.uniform(0.001, 0.5),
+                instance.configure,
+                configuration,
+            )
+
     def start(self, name: str) -> None:
         """Starts an instance, also one that has ended."""
         if name in self.instances:
@@ -115,6 +129,10 @@
         for other in self.instances.values():
             for known in self.instances.values():
                 other.fleet.take(known.fleet.own)
+        self.later(
+            self.unread_seconds,
+            lambda: instance.configure(self.configuration),
+        )
         instance.start()
 
     def kill(self, name: str) -> None:
@@ -133,11 +151,11 @@
             if instance.candidacy.holds
         ]
 
-    def is_excused(self, name: str, target: str) -> bool:
-        """Tells whether an order that arrives now does not count."""
-        thawed = self.now() - self.thawed_at.get(name, -1)
-        is_late = thawed < modelled_network.THAW_SECONDS
-        return is_late or self.network.is_fresh(name, target)
+    def is_excused(self, name: str, target: str, arrived: float) -> bool:
+        """Tells whether an order that arrived then does not count."""
+        thawed = arrived - self.thawed_at.get(name, -1)
+        is_late = 0 <= thawed < modelled_network.THAW_SECONDS
+        return is_late or self.network.is_fresh(name, target, arrived)
 
     def add_target(self) -> modelled_targets.Target:
         """Starts one more target."""
--- a/src/bilberryglade/_ownership/tests/modelled_network.py
+++ b/src/bilberryglade/_ownership/tests/modelled_network.py
@@ -38,10 +38,10 @@
             self.cuts.discard(pair)
             self.healed_at[pair] = self.loop.time()
 
-    def is_fresh(self, one: str, other: str) -> bool:
-        """Tells whether a link has healed just now."""
+    def is_fresh(self, one: str, other: str, moment: float) -> bool:
+        """Tells whether a link had healed just before a moment."""
         healed = self.healed_at.get(frozenset((one, other)), -1)
-        return self.loop.time() - healed < THAW_SECONDS
+        return 0 <= moment - healed < THAW_SECONDS
 
     def transit(self) -> float:
         """Returns the seconds of one way."""
@@ -73,3 +73,5 @@
         #: they are carried out; none if they are carried out at once.
         self.lost_part: float = 0
         self.late: tuple[float, float] | None = None
+        #: Part of orders on kept connections that meet an extra answer.
+        self.extra_part: float = 0
--- a/src/bilberryglade/_ownership/tests/test_lease_exploration.py
+++ b/src/bilberryglade/_ownership/tests/test_lease_exploration.py
@@ -7,7 +7,7 @@
 import unittest
 from unittest import mock
 
-from bilberryglade._ownership import holds, lessor, owners
+from bilberryglade._ownership import holds, lessor, owners, steward
 from bilberryglade._ownership.tests import lease_explorer
 from bilberryglade._values import clock
 
@@ -55,11 +55,17 @@
         )
 
     def test_without_leases_of_the_earlier_coordinator(self) -> None:
-        """A new coordinator takes nobody to hold anything."""
+        """The same, where a record is read."""
         self.assert_found(
             mock.patch.object(owners, 'former_of', return_value=())
         )
 
+    def test_without_owners_in_the_tables_at_a_takeover(self) -> None:
+        """A new coordinator takes the owners that it finds to hold nothing."""
+        self.assert_found(
+            mock.patch.object(steward, '_owning', _owning_nothing)
+        )
+
     def test_with_a_new_start_that_ends_leases(self) -> None:
         """What a later life has taken is forgotten."""
         self.assert_found(
@@ -67,6 +73,11 @@
         )
 
 
+def _owning_nothing(owned: owners.Owned, longest: float) -> owners.Former:
+    """Returns an owner whose lease has ended."""
+    return owners.Former(owned.entry, -longest)
+
+
 def _blocking_by_life(
     leasing: lessor.Lessor,
     service: str,
--- a/src/bilberryglade/_ownership/tests/virtual_time.py
+++ b/src/bilberryglade/_ownership/tests/virtual_time.py
@@ -44,6 +44,8 @@
         #: Seconds that each callback takes.
         self.cost: float = 0
         self.busy_until: float = 0
+        #: Seconds that its clock counts in a second.
+        self.pace: float = 1
         self.held: collections.deque[Held] = collections.deque()
         self.is_pumped = False
         self.context = contextvars.copy_context()
@@ -85,6 +87,13 @@
         """Returns virtual seconds since the start."""
         return self._selector.now
 
+    def clock(self) -> float:
+        """Returns what the clock of the running process shows."""
+        process = running.get()
+        if process is None:
+            return self.time()
+        return self.time() * process.pace
+
     def call_soon(
         self,
         callback: abc.Callable[..., object],
