A target's 503 that does not say 'not run' promises callers nothing

A target's answer with status 408, 429 or 503, its mark and the request's id, but without X-Not-Executed, was passed on as it was, and told the caller that the request had not run. By the protocol no other word states that: the request may have run.

--- a/src/bilberryglade/platform/exchange.py
+++ b/src/bilberryglade/platform/exchange.py
@@ -16,6 +16,8 @@
 MARGIN_SECONDS: typing.Final = 0.03
 MISDIRECTED_STATUS: typing.Final = 421
 FULL_STATUS: typing.Final = 503
+#: Statuses by which callers are told that a request has not run.
+PROMISING_STATUSES: typing.Final = frozenset((408, 429, 503))
 PERCENT: typing.Final = 100
 
 
@@ -59,7 +61,8 @@
 
     An answer that doesn't bear the request's own id belongs to another one,
     whatever it says: the request may run, and nothing is known of the load.
-    A success without the target's mark or with an encoded body is no answer.
+    A success without the target's mark or with an encoded body is no answer, nor
+    is a status that would promise callers what the target did not say.
     """
     if not marks.are_own(marked(request_id), answer.status, answer.headers):
         return sends.Sent(outcomes.Unknown(outcomes.Reason.answer_lost))
@@ -73,7 +76,7 @@
         return sends.Sent(refused, report, is_shed=is_shed)
     is_marked = bool(headers.find(answer.headers, headers.SIGNATURE))
     is_encoded = bool(headers.find(answer.headers, headers.CONTENT_ENCODING))
-    if not is_marked or is_encoded:
+    if not is_marked or is_encoded or answer.status in PROMISING_STATUSES:
         return sends.Sent(outcomes.Unknown(outcomes.Reason.answer_lost), report)
     return sends.Sent(answer, report)
 
