--- a/src/bilberryglade/_ownership/tests/lease_links.py
+++ b/src/bilberryglade/_ownership/tests/lease_links.py
@@ -239,6 +239,16 @@
                 meant,
             )
             return
+        self._take(call, target, answer)
+
+    def _take(
+        self,
+        call: sender.Call,
+        target: modelled_targets.Target,
+        answer: 'asyncio.Future[outcomes.Outcome]',
+    ) -> None:
+        """Lets a target carry an order out, now or later, answered or not."""
+        world = self.world
         lost = world.chance.random() < world.order_troubles.lost_part
         late = world.order_troubles.late
         if lost and late is not None:
