A configuration is in force but for what cannot be understood of it

A configuration is read field by field. An odd field is replaced by its careful reading or ignored; a row without a field that it needs is refused (503, not run), and no shorter route takes its requests. Each part is told with its path. What is no record, no table, or leaves no route to serve keeps the last good one.

--- a/src/bilberryglade/_knowledge/left_out.py
+++ b/src/bilberryglade/_knowledge/left_out.py
@@ -22,6 +22,8 @@
 
     #: Records by topic, repeats included.
     counts: immutables.Map[str, int] = immutables.Map()
+    #: Parts of records that are otherwise in force, by topic.
+    part_counts: immutables.Map[str, int] = immutables.Map()
     #: Topics, keys and causes that were told.
     told: frozenset[tuple[str, str, str]] = frozenset()
 
@@ -35,14 +37,38 @@
     """Takes in a record that was left out, and tells of a new cause."""
     count = known.counts.get(topic, 0) + 1
     counted = known._replace(counts=known.counts.set(topic, count))
+    return _told(counted, topic, record, f'left out: {cause}')
+
+
+def note_part(
+    known: LeftOut,
+    topic: str,
+    record: stored.Record,
+    cause: str,
+) -> LeftOut:
+    """Takes in that a part of a record was left out or read carefully.
+
+    `cause` begins with the path of the part.
+    """
+    count = known.part_counts.get(topic, 0) + 1
+    counted = known._replace(part_counts=known.part_counts.set(topic, count))
+    return _told(counted, topic, record, f'in force but for {cause}')
+
+
+def _told(
+    known: LeftOut,
+    topic: str,
+    record: stored.Record,
+    cause: str,
+) -> LeftOut:
     line = (topic, record.key, cause[:CAUSE_CHARACTERS])
     if line in known.told or len(known.told) >= MOST_TOLD:
-        return counted
+        return known
     loguru.logger.warning(
-        'record {} of {} at offset {} left out: {}',
+        'record {} of {} at offset {} {}',
         record.key,
         topic,
         record.offset,
         line[-1],
     )
-    return counted._replace(told=known.told | {line})
+    return known._replace(told=known.told | {line})
--- a/src/bilberryglade/_routing/admission.py
+++ b/src/bilberryglade/_routing/admission.py
@@ -52,12 +52,25 @@
     route = catalogue.match(known, request.host, request.path)
     if route is None:
         return outcomes.NotRun(outcomes.Reason.no_route)
+    if not route.parts:
+        return outcomes.NotRun(outcomes.Reason.not_understood, RETRY_MS)
     if route.is_public or not known.organisations:
         return Admitted(route, None)
+    return _admit_organisation(known, request, route)
+
+
+def _admit_organisation(
+    known: catalogue.Catalogue,
+    request: Incoming,
+    route: catalogue.Route,
+) -> Admitted | outcomes.NotRun:
     name = known.api_keys.get(request.api_key)
     if name is None:
         return outcomes.NotRun(outcomes.Reason.no_credentials)
-    return Admitted(route, known.organisations[name])
+    organisation = known.organisations[name]
+    if not organisation.is_understood:
+        return outcomes.NotRun(outcomes.Reason.not_understood, RETRY_MS)
+    return Admitted(route, organisation)
 
 
 #: Milliseconds after which an instance without a configuration may have one.
--- a/src/bilberryglade/_routing/catalogue.py
+++ b/src/bilberryglade/_routing/catalogue.py
@@ -29,7 +29,10 @@
     priority: int
     #: Targets to which one request may be sent.
     attempts: int
+    #: Empty if the operator's route was not understood: its requests are refused.
     parts: tuple[Part, ...]
+    #: Whether its answers take a link's time beside the target's.
+    has_large_answers: bool = False
 
 
 class Service(typing.NamedTuple):
@@ -55,6 +58,8 @@
     #: Requests a second; 0 if there is no limit.
     rate: float
     burst: float
+    #: Whether all of it that limits it was understood; else it is refused.
+    is_understood: bool = True
 
 
 class CallerBounds(typing.NamedTuple):
--- a/src/bilberryglade/_values/outcomes.py
+++ b/src/bilberryglade/_values/outcomes.py
@@ -44,6 +44,8 @@
     keys_moving = 'keys_moving'
     retry_budget = 'retry_budget'
     caller_gone = 'caller_gone'
+    not_understood = 'not_understood'
+    held_off = 'held_off'
 
 
 class Answered(typing.NamedTuple):
--- a/src/bilberryglade/platform/folds.py
+++ b/src/bilberryglade/platform/folds.py
@@ -73,15 +73,23 @@
             known.omitted, topics.OPERATOR, record, decoded.err_value
         )
         return known._replace(catalogue_offset=record.offset, omitted=omitted)
+    in_force = decoded.ok_value.catalogue
+    omitted = known.omitted
+    for issue in decoded.ok_value.issues:
+        omitted = left_out.note_part(
+            omitted, topics.OPERATOR, record, f'{issue.path}: {issue.cause}'
+        )
     loguru.logger.info(
-        'configuration {} in force, offset {}',
-        decoded.ok_value.version,
+        'configuration {} in force, offset {}, {} parts left out',
+        in_force.version,
         record.offset,
+        len(decoded.ok_value.issues),
     )
-    _tell_quotas(known.catalogue, decoded.ok_value)
+    _tell_quotas(known.catalogue, in_force)
     return known._replace(
-        catalogue=decoded.ok_value,
+        catalogue=in_force,
         catalogue_offset=record.offset,
+        omitted=omitted,
     )
 
 
--- a/src/bilberryglade/platform/tests/test_entry.py
+++ b/src/bilberryglade/platform/tests/test_entry.py
@@ -69,6 +69,27 @@
             answer = await self.world.ask('/claims/1', instance=instance)
             self.assertEqual(answer.status, 401)
 
+    async def test_restart_brings_nothing_back(self) -> None:
+        """A new process knows withdrawn API keys and targets that left."""
+        holders = {
+            'columns': ['name', 'api_keys'],
+            'rows': [['office', ['key-2']]],
+        }
+        changed = samples.configuration(8, tenants=holders)
+        self.world.write('keyed.op', 'config', changed)
+        beats = self.world.tasks[0]
+        beats.cancel()
+        self.world.write('keyed.servers', 'c1', b'')
+        await self.world.add_instance(2)
+        await self.world.until(self.world.parts(2).is_ready)
+        withdrawn = await self.world.ask('/claims/1', instance=2, method='POST')
+        self.assertEqual(withdrawn.status, 401)
+        left = await self.world.ask(
+            '/claims/1', instance=2, method='POST', x_credential='key-2'
+        )
+        self.assertEqual(left.status, 503)
+        self.assertEqual(self.world.runs('c1'), [])
+
     async def test_broken_configuration(self) -> None:
         """One that cannot be read leaves the last good one in force."""
         self.world.write('keyed.op', 'config', samples.configuration()[:-9])
