--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	$(BIN)/flake8 src tools
 	$(BIN)/mypy
 	$(BIN)/python -W ignore tools/generate.py --check
+	$(BIN)/python tools/check_pages.py
 	$(MAKE) deployable
 	$(BIN)/python -m bilberryglade_lab.run_tests $(TESTS)
 
