Targets' own words are kept; a planned stop cuts nothing

A target may say in its answers that it leaves (Server-Leaving), or in a 503 that it wants nothing for a while (Retry-After). Neither was read.

A planned stop cut requests without an answer whose time limit goes beyond the grace.

--- a/src/bilberryglade/_delivery/permit_broker.py
+++ b/src/bilberryglade/_delivery/permit_broker.py
@@ -127,6 +127,8 @@
             'ending': finished.result.value,
             'ms': int(finished.seconds * MS_PER_SECOND),
         }
+        if finished.hold_seconds:
+            message['hold_ms'] = int(finished.hold_seconds * MS_PER_SECOND)
         if finished.report is not None:
             message['load'] = _load_figures(finished.report)
         self.members.send(permit.dispatcher, message)
@@ -142,6 +144,7 @@
                 aim_left=message['aim_ms'] / MS_PER_SECOND,
                 time_left=message['left_ms'] / MS_PER_SECOND,
                 tried=frozenset(message.get('excluded', ())),
+                has_large_answer=message.get('has_large_answer', False),
             ),
         )
         granted = self.ledger.grant(request, clock.now())
@@ -174,6 +177,7 @@
                 result or send_results.SendResult.abandoned,
                 message['ms'] / MS_PER_SECOND,
                 report,
+                hold_seconds=message.get('hold_ms', 0) / MS_PER_SECOND,
             ),
             clock.now(),
         )
@@ -220,6 +224,8 @@
             message['owner'] = request.owner
         if demand.tried:
             message['excluded'] = sorted(demand.tried)
+        if demand.has_large_answer:
+            message['has_large_answer'] = True
         return await self.pending_asks.wait(
             number,
             lambda: self.members.send(dispatcher, message),
--- a/src/bilberryglade/_delivery/permits.py
+++ b/src/bilberryglade/_delivery/permits.py
@@ -76,6 +76,9 @@
         #: By target incarnation and instance: monotonic seconds of the newest
         #: failed exchange.
         self.last_failures: dict[directory.Life, dict[str, float]] = {}
+        #: By target incarnation and instance: monotonic seconds until which the
+        #: target wants nothing from that instance.
+        self.holds: dict[directory.Life, dict[str, float]] = {}
 
     def grant(
         self,
@@ -90,7 +93,9 @@
         if not targets:
             return None
         spacing = self.cold_spacing(request.service)
-        views = [self._view(target, spacing) for target in targets]
+        views = [
+            self._view(target, spacing, request.key[0]) for target in targets
+        ]
         chosen = choosing.choose(views, request.demand, now)
         if isinstance(chosen, choosing.Refusal):
             return chosen
@@ -112,6 +117,10 @@
             return
         incarnation = directory.life_of(permit.target)
         current = standing.ended(self.standings[incarnation])
+        if finished.hold_seconds:
+            holds = self.holds.setdefault(incarnation, {})
+            until = now + finished.hold_seconds
+            holds[key[0]] = max(holds.get(key[0], 0), until)
         if self._is_about_target(incarnation, key[0], finished.result, now):
             finished = _with_own_count(finished, permit, current.outstanding)
             current = send_results.standing_after(
@@ -143,6 +152,7 @@
         for incarnation in unlisted:
             self.standings.pop(incarnation)
             self.last_failures.pop(incarnation, None)
+            self.holds.pop(incarnation, None)
 
     def work_seconds(self, since: float) -> dict[str, float]:
         """Returns the usual work time of targets, in seconds by name.
@@ -159,10 +169,14 @@
         self,
         target: directory.Target,
         spacing: float,
+        instance: str,
     ) -> choosing.View:
-        current = (
-            self.standings.get(directory.life_of(target)) or standing.Standing()
-        )
+        """Returns a target as it stands for a request of `instance`."""
+        life = directory.life_of(target)
+        current = self.standings.get(life) or standing.Standing()
+        held_off_until = self.holds.get(life, {}).get(instance)
+        if held_off_until is not None:
+            current = current._replace(held_off_until=held_off_until)
         return choosing.View(
             target, current, may_warm=True, cold_spacing=spacing
         )
@@ -170,7 +184,7 @@
     def _record_grant(
         self, request: PermitRequest, chosen: choosing.View, now: float
     ) -> None:
-        current = standing.sent(chosen.standing)
+        current = standing.sent(chosen.standing)._replace(held_off_until=0)
         if choosing.is_cold(chosen, now):
             current = current._replace(cold_sent_at=now)
         self.standings[directory.life_of(chosen.target)] = current
@@ -226,6 +240,6 @@
         and other_requests < permit.target.places
     ):
         result = send_results.SendResult.faulty
-    return send_results.FinishedSend(
-        result, finished.seconds, report, permit.work_units
+    return finished._replace(
+        result=result, report=report, work_units=permit.work_units
     )
--- a/src/bilberryglade/_delivery/request_sender.py
+++ b/src/bilberryglade/_delivery/request_sender.py
@@ -25,6 +25,10 @@
     #: Whether the target refused the request because it does not own the key, or
     #: because another target has that address now.
     is_misdirected: bool = False
+    #: Whether the target said that it leaves.
+    is_leaving: bool = False
+    #: For how long the target wants nothing from this instance.
+    hold_seconds: float = 0
 
 
 class Exchange(typing.Protocol):
@@ -74,6 +78,8 @@
         self.on_answer_lost: abc.Callable[
             [admission.Incoming, directory.Target], None
         ] = lambda *_: None
+        #: Called with each target that said in an answer that it leaves.
+        self.on_leaving: abc.Callable[[directory.Target], None] = lambda _: None
         #: Ids of requests that are at a target and may run only once.
         self.in_flight_unrepeatable: set[str] = set()
 
@@ -116,6 +122,8 @@
         finally:
             self.in_flight_unrepeatable.discard(request.request_id)
             self._record_end(target, finished, permit)
+        if exchange_result.is_leaving:
+            self.on_leaving(target)
         if exchange_result.outcome == ANSWER_LOST:
             self.on_answer_lost(request, target)
         return exchange_result.outcome
@@ -167,9 +175,11 @@
     ) -> None:
         incarnation = directory.life_of(target)
         current = standing.ended(self.standings[incarnation])
-        self.standings[incarnation] = send_results.standing_after(
-            current, target, finished, clock.now()
-        )
+        now = clock.now()
+        current = send_results.standing_after(current, target, finished, now)
+        if finished.hold_seconds:
+            current = standing.held_off(current, finished.hold_seconds, now)
+        self.standings[incarnation] = current
         if permit is not None:
             self.broker.end_permit(permit, finished)
 
@@ -202,4 +212,9 @@
         result = send_results.SendResult.refused
     if exchange_result.is_shed:
         result = send_results.SendResult.shed
-    return send_results.FinishedSend(result, seconds, exchange_result.report)
+    return send_results.FinishedSend(
+        result,
+        seconds,
+        exchange_result.report,
+        hold_seconds=exchange_result.hold_seconds,
+    )
--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -11,6 +11,7 @@
 
 from bilberryglade._delivery import (
     crash_records,
+    last_calls,
     permit_broker,
     request_sender,
     retry_budget,
@@ -33,6 +34,8 @@
 #: Share of the remaining time that a target gets if the request can still be
 #: retried at another target.
 FIRST_SEND_SHARE: typing.Final = 0.6
+#: Longest random delay of requests that waited until a target takes some again.
+HOLD_SPREAD_SECONDS: typing.Final = 0.05
 #: Largest random extension of a retry-after time, as a share of it; it keeps
 #: refused callers from retrying at the same time.
 RETRY_AFTER_JITTER: typing.Final = 0.5
@@ -110,6 +113,8 @@
         #: Random start of the split of each route, so that instances with few
         #: requests each do not all begin with the same service.
         self.split_offset = random.random()
+        #: Monotonic seconds at which a planned stop ends every request.
+        self.ends_at = float('inf')
         #: Called once for each request with a key: its service and the key.
         self.count_key: abc.Callable[[str, int], None] = lambda *_: None
 
@@ -130,6 +135,17 @@
         )
         earlier_wait = self._earlier_wait(request, admitted.route)
         delivery = delivery._replace(waited_seconds=earlier_wait)
+        if not last_calls.can_finish(
+            admitted.route.timeout,
+            request.patience,
+            self.ends_at - request.arrived_at,
+        ):
+            refused = outcomes.NotRun(outcomes.Reason.stopping)
+            return self._with_retry_after(
+                request,
+                delivery._replace(outcome=refused),
+                last_calls.RETRY_SECONDS,
+            )
         quota_wait = None
         if self.crashes.is_quarantined(request):
             refused = outcomes.NotRun(outcomes.Reason.quarantined)
@@ -274,15 +290,35 @@
         denied_tables: owners.Tables,
     ) -> ChosenTarget | choosing.Refusal:
         service = self.reader.known.service(job.service)
-        if service is None or not service.is_partitioned:
-            targets = self.reader.known.in_use(job.service)
-            tried = frozenset(delivery.targets)
-            return await self._choose_permitted(job, targets, tried, None)
-        # Only the owner of a key can serve it, so a retry may go to a target
-        # that was tried before.
+        is_partitioned = service is not None and service.is_partitioned
         key = job.request.routing_key
-        if key is not None and not delivery.targets:
+        if is_partitioned and key is not None and not delivery.targets:
             self.count_key(job.service, key)
+        while True:
+            if is_partitioned:
+                chosen = await self._choose_owner(job, denied_tables)
+            else:
+                targets = self.reader.known.in_use(job.service)
+                tried = frozenset(delivery.targets)
+                chosen = await self._choose_permitted(job, targets, tried, None)
+            if not isinstance(chosen, choosing.Refusal):
+                return chosen
+            if not choosing.is_worth_waiting(
+                chosen, job.aim_until - clock.now()
+            ):
+                return chosen
+            await asyncio.sleep(
+                chosen.retry_seconds + random.random() * HOLD_SPREAD_SECONDS
+            )
+
+    async def _choose_owner(
+        self, job: Job, denied_tables: owners.Tables
+    ) -> ChosenTarget | choosing.Refusal:
+        """Returns the owner of the request's key, or why it cannot serve it.
+
+        Only the owner of a key can serve it, so a retry may go to a target that
+        was tried before.
+        """
         owner = await self._wait_for_owner(job, denied_tables)
         if isinstance(owner, choosing.Refusal):
             return owner
@@ -355,6 +391,7 @@
             aim_left=job.aim_until - now,
             time_left=job.deadline - now,
             tried=tried,
+            has_large_answer=job.admitted.route.has_large_answers,
         )
 
     def _return_permit(
@@ -401,7 +438,9 @@
         target = known.directory.targets.get(owned.entry.owner.target)
         if target is None or target.born != owned.entry.owner.born:
             return None
-        if target.is_draining or known.is_out(target.failure_domain):
+        if known.is_out(target.failure_domain):
+            return None
+        if target.is_draining and target.used_until <= clock.now():
             return None
         return target
 
--- a/src/bilberryglade/_delivery/send_results.py
+++ b/src/bilberryglade/_delivery/send_results.py
@@ -52,6 +52,8 @@
     #: Expected duration, waiting included, in multiples of the target's usual
     #: work time; None if unknown.
     work_units: float | None = None
+    #: For how long the target wants nothing from the sending instance.
+    hold_seconds: float = 0
 
 
 def result_of_outcome(outcome: outcomes.Outcome) -> SendResult:
@@ -74,7 +76,10 @@
     finished: FinishedSend,
     now: float,
 ) -> standing.Standing:
-    """Returns a target's standing (its observed health and load) after a send."""
+    """Returns a target's standing (its observed health and load) after a send.
+
+    `hold_seconds` is not considered: it concerns the sending instance alone.
+    """
     if finished.result is SendResult.shed:
         return standing.shed(before, target.places, now)
     if finished.result in {SendResult.good, SendResult.bad}:
--- a/src/bilberryglade/_delivery/tests/test_permits.py
+++ b/src/bilberryglade/_delivery/tests/test_permits.py
@@ -236,3 +236,22 @@
         refused = self.ledger.grant(permit_request(200), NOW + 2)
         assert isinstance(refused, choosing.Refusal)
         self.assertEqual(refused.reason, outcomes.Reason.cold)
+
+
+class HoldTests(LedgerCase):
+    """A target that wants nothing from one instance for a while."""
+
+    def test_only_that_instance_gets_no_permit(self) -> None:
+        """Others do, and so does it once the time is over."""
+        self.ledger.grant(permit_request(1, 'e1'), NOW)
+        held = send_results.FinishedSend(SendResult.faulty, hold_seconds=0.5)
+        self.ledger.end_permit(('e1', 1), held, NOW)
+        refused = self.ledger.grant(permit_request(2, 'e1'), NOW + 0.4)
+        assert isinstance(refused, choosing.Refusal)
+        self.assertIs(refused.reason, outcomes.Reason.held_off)
+        for number, instance, at in ((3, 'e2', 0.4), (4, 'e1', 0.5)):
+            with self.subTest(instance=instance):
+                granted = self.ledger.grant(
+                    permit_request(number, instance), NOW + at
+                )
+                self.assertEqual(granted, self.target)
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -20,6 +20,7 @@
 )
 from bilberryglade._instance import serving
 from bilberryglade._knowledge import (
+    departures,
     operators,
     peer_handlers,
     reading,
@@ -58,8 +59,12 @@
 #: Seconds after the signal in which new requests are still taken: the
 #: balancer looks once a second and needs two misses.
 NOTICE_SECONDS: typing.Final = 2.6
-#: Seconds before the end of the stop's time at which the process leaves.
+#: Seconds before the end of the stop's time at which the last requests are
+#: answered, and the most that this may be of it.
 STOP_MARGIN_SECONDS: typing.Final = 0.9
+STOP_MARGIN_PART: typing.Final = 0.15
+#: Seconds for the last answers to go out.
+FLUSH_SECONDS: typing.Final = 0.3
 REGISTERED: typing.Final = (peer_handlers, permit_handlers, folds)
 
 
@@ -95,6 +100,9 @@
         self.enrolment = enrolment.Enrolment(self.fleet, client, self.candidacy)
         self.reader = reading.Reader(self.fleet, client, self.candidacy)
         self.operators = operators.Operators(self.reader)
+        self.departures = departures.Departures(
+            self.fleet, self.reader, self.candidacy, place.bounds.drain
+        )
         self.targets = sender.Sender(
             TARGET_CONNECTIONS, ANSWER_BYTES, TARGET_IDLE_MS
         )
@@ -192,6 +200,7 @@
             whole = self.reader.whole(topic)
             if whole is not None:
                 self.fleet.send(name, whole)
+        self.departures.tell(name)
         self.fleet.send(name, self.steward.assignment_message())
 
     def _sign_of_life(self) -> messages.Lead:
@@ -218,10 +227,11 @@
         self.candidacy.on_end.append(self.tell_end)
         self.ledger = permits.PermitLedger(self.targets_of, self.cold_spacing)
         self.dispatching = permit_broker.PermitBroker(self.fleet, self.ledger)
+        self.exchange = exchange.TargetExchange(self.targets)
         self.sends = request_sender.RequestSender(
             self.reader,
             self.fleet,
-            exchange.TargetExchange(self.targets),
+            self.exchange,
             self.cold_room,
             self.dispatching,
         )
@@ -233,6 +243,7 @@
         )
         self.crashes = crash_records.CrashRecords(self.fleet)
         self.sends.on_answer_lost = self.crashes.check_target
+        self.sends.on_leaving = self.departures.notice
         self.crashes.on_crash = self.sends.mark_doubtful
         self.router = router.Router(
             self.place,
@@ -247,6 +258,7 @@
         self.exchanges = exchange_counts.Exchanges(self.reader, self.steward)
         self.exchanges.watch_peers(self.peers)
         self.exchanges.watch_orders(self.steward.lease_manager.log)
+        self.exchanges.watch_headers(self.exchange.odd_headers)
         self.front = front.Front(
             self.router, self.exchanges.take, self.caller_bounds
         )
@@ -356,15 +368,20 @@
         loguru.logger.info('started at {}', parts.place.callers_address)
         await parts.stopping.wait()
         began = clock.now()
-        loguru.logger.info('stopping')
+        grace = parts.place.bounds.grace
+        ends_at = (
+            began + grace - min(STOP_MARGIN_SECONDS, grace * STOP_MARGIN_PART)
+        )
+        parts.router.ends_at = ends_at
+        loguru.logger.info('stopping, for {:g} s at most', ends_at - began)
         parts.fleet.send_all(parts.fleet.hello(is_leaving=True))
         await parts.candidacy.resign()
-        await asyncio.sleep(max(NOTICE_SECONDS - (clock.now() - began), 0))
+        noticed_at = min(began + NOTICE_SECONDS, ends_at)
+        await asyncio.sleep(max(noticed_at - clock.now(), 0))
         server.should_exit = True
-        left = parts.place.bounds.grace - STOP_MARGIN_SECONDS
-        await asyncio.wait(
-            (serve,), timeout=max(left - (clock.now() - began), 0)
-        )
+        await asyncio.wait((serve,), timeout=max(ends_at - clock.now(), 0))
+        parts.front.ending.set_result(None)
+        await asyncio.wait((serve,), timeout=FLUSH_SECONDS)
 
     async def _lead(self) -> None:
         while True:
@@ -377,6 +394,7 @@
             self.parts.reader.expire()
             self.parts.sends.drop_unlisted()
             self.parts.forget_gone()
+            self.parts.departures.repeat()
             self.parts.crashes.drop_expired()
 
     async def _read_tables(self) -> None:
--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -71,6 +71,12 @@
     parts.crashes.handle_crash(message)
 
 
+@handlers.handler_for('leaving', fleet.Leaving)
+def handle_leaving(parts: 'entry.Parts', message: fleet.Leaving) -> None:
+    """Takes in that targets said that they leave."""
+    parts.departures.hear(message)
+
+
 @handlers.handler_for('relay', fleet.Relay)
 def handle_relay(parts: 'entry.Parts', message: fleet.Relay) -> None:
     """Takes in records of the store."""
--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -132,6 +132,18 @@
             self.known = self.known._replace(directory=listed)
             self._tell()
 
+    def leave(self, life: directories.Life, used_until: float) -> None:
+        """Takes in that a life of a target said that it leaves."""
+        listed = directories.leave(self.known.directory, life, used_until)
+        _note_targets(self.known.directory, listed)
+        self.known = self.known._replace(directory=listed)
+        self._tell()
+
+    def forget_left(self, before: float) -> None:
+        """Drops the words of leaving targets that are of no more use."""
+        listed = directories.forget_left(self.known.directory, before)
+        self.known = self.known._replace(directory=listed)
+
     def whole(self, topic: str) -> messages.Relay | None:
         """Returns all that is known of a topic as a message."""
         end = self.known.ends.get(topic)
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -74,6 +74,25 @@
         return iter((counted,))
 
 
+class OddHeaderCounts(registry.Collector):
+    """Headers of targets that were left out."""
+
+    def __init__(self, counts: abc.Mapping[str, int]) -> None:
+        """Reads `counts`, by name of the header."""
+        self.counts = counts
+
+    def collect(self) -> abc.Iterator[metrics_core.Metric]:
+        """Returns the counts now."""
+        counted = metrics_core.CounterMetricFamily(
+            'bilberryglade_target_headers_left_out',
+            'Headers of targets of which nothing could be made.',
+            labels=('header',),
+        )
+        for name, count in self.counts.items():
+            counted.add_metric((name,), count)
+        return iter((counted,))
+
+
 class LeftOutCounts(registry.Collector):
     """Records of others that were left out."""
 
@@ -91,7 +110,14 @@
         omitted = self.reader.known.omitted
         for topic, count in omitted.counts.items():
             records.add_metric((topic,), count)
-        return iter((records,))
+        parts = metrics_core.CounterMetricFamily(
+            'bilberryglade_record_parts_left_out',
+            'Parts of records that were left out or read carefully.',
+            labels=('topic',),
+        )
+        for topic, count in omitted.part_counts.items():
+            parts.add_metric((topic,), count)
+        return iter((records, parts))
 
 
 class Exchanges:
@@ -169,6 +195,10 @@
         """Counts orders to targets from now on."""
         self.registry.register(OrderCounts(log))
 
+    def watch_headers(self, counts: abc.Mapping[str, int]) -> None:
+        """Counts headers of targets that are left out from now on."""
+        self.registry.register(OddHeaderCounts(counts))
+
     def scrape(self) -> bytes:
         """Returns all counters as text."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/bilberryglade/_targets/choosing.py
+++ b/src/bilberryglade/_targets/choosing.py
@@ -13,6 +13,10 @@
 
 #: Factor on the cost of a target in another failure domain.
 REMOTE_FACTOR: typing.Final = 1.08
+#: The same if the answer is large: links between failure domains are scarce.
+LARGE_REMOTE_FACTOR: typing.Final = 2.5
+#: Factor on the cost of a target that leaves: it is for what only it can serve.
+LEAVING_FACTOR: typing.Final = 10.0
 #: Factor on the cost of a cold target.
 COLD_FACTOR: typing.Final = 1.5
 #: Shortest time between two requests of one instance to a cold target.
@@ -24,6 +28,9 @@
 LATE_WAIT_WORKS: typing.Final = 1.0
 #: Work takes up to so many times its usual time in most cases.
 WORK_FACTOR: typing.Final = 1.3
+#: Part of the time to its aim that a request waits for a target which wants
+#: nothing for a while; the rest is for its work.
+HOLD_PART: typing.Final = 0.5
 #: Bounds of the time after which a refused caller may come back.
 LEAST_RETRY_SECONDS: typing.Final = 0.08
 MOST_RETRY_SECONDS: typing.Final = 0.6
@@ -50,6 +57,8 @@
     time_left: float
     #: Names of targets that had it before.
     tried: frozenset[str]
+    #: Whether its answer takes a link's time beside the target's.
+    has_large_answer: bool = False
 
 
 class Refusal(typing.NamedTuple):
@@ -98,6 +107,16 @@
     return max(most, 0)
 
 
+def is_worth_waiting(refusal: Refusal, aim_left: float) -> bool:
+    """Tells whether a refused request can wait and still be answered in time.
+
+    This holds only for targets that named the time at which they take requests
+    again; who can't wait for it comes back after that time.
+    """
+    is_held = refusal.reason is outcomes.Reason.held_off
+    return is_held and refusal.retry_seconds <= aim_left * HOLD_PART
+
+
 def is_cold(view: View, now: float) -> bool:
     """Tells whether a target bears only a few requests a second."""
     until = max(view.target.cold_until, view.standing.doubtful_until)
@@ -121,11 +140,22 @@
         return Refusal(outcomes.Reason.no_owner, MOST_RETRY_SECONDS)
     if any(is_cold(view, now) for view in views):
         return Refusal(outcomes.Reason.cold, LEAST_RETRY_SECONDS * 4)
+    holds = [
+        view.standing.held_off_until - now
+        for view in views
+        if view.standing.held_off_until > now
+    ]
+    if holds:
+        return Refusal(
+            outcomes.Reason.held_off, max(min(holds), LEAST_RETRY_SECONDS)
+        )
     return Refusal(outcomes.Reason.target_unreachable, LEAST_RETRY_SECONDS * 4)
 
 
 def _is_usable(view: View, demand: Demand, now: float) -> bool:
-    if view.target.is_draining or view.target.name in demand.tried:
+    if view.target.name in demand.tried or view.standing.held_off_until > now:
+        return False
+    if view.target.is_draining and view.target.used_until <= now:
         return False
     if standing.is_paused(view.standing, view.target.offset, now):
         return False
@@ -138,7 +168,11 @@
 def _cost(view: View, demand: Demand, now: float) -> float:
     factor = 1.0
     if view.target.failure_domain != demand.failure_domain:
-        factor *= REMOTE_FACTOR
+        factor *= (
+            LARGE_REMOTE_FACTOR if demand.has_large_answer else REMOTE_FACTOR
+        )
+    if view.target.is_draining:
+        factor *= LEAVING_FACTOR
     if is_cold(view, now):
         factor *= COLD_FACTOR
     return standing.cost(view.standing, view.target.places, now) * factor
--- a/src/bilberryglade/_targets/directory.py
+++ b/src/bilberryglade/_targets/directory.py
@@ -41,6 +41,9 @@
     sequence: int
     #: Place of its entry in the store.
     offset: int
+    #: Monotonic seconds until which it may get what no other target can serve,
+    #: though it leaves; 0 if it may get nothing more.
+    used_until: float = 0
 
 
 def life_of(target: Target) -> Life:
@@ -57,6 +60,9 @@
     #: Names whose entries lapsed around an outage, and until when each is
     #: still taken to live.
     lapsed: immutables.Map[str, float] = immutables.Map()
+    #: Lives that said in an answer that they leave, whatever their entries say,
+    #: and until when each may get what no other target can serve.
+    leaving: immutables.Map[Life, float] = immutables.Map()
 
 
 def put(known: Directory, target: Target) -> Directory:
@@ -70,7 +76,40 @@
     lapsed = known.lapsed
     if target.name in lapsed:
         lapsed = lapsed.delete(target.name)
-    return Directory(known.targets.set(target.name, target), offsets, lapsed)
+    listed = _as_leaving(known.leaving, target)
+    return known._replace(
+        targets=known.targets.set(target.name, listed),
+        offsets=offsets,
+        lapsed=lapsed,
+        leaving=_without_earlier(known.leaving, target),
+    )
+
+
+def leave(known: Directory, life: Life, used_until: float) -> Directory:
+    """Takes in that a life of a target said that it leaves.
+
+    Only another life of it may be used again: no entry undoes its word.
+    """
+    if life in known.leaving:
+        return known
+    target = known.targets.get(life.target)
+    if target is not None and target.born > life.born:
+        return known
+    leaving = known.leaving.set(life, used_until)
+    known = known._replace(leaving=leaving)
+    if target is None:
+        return known
+    listed = _as_leaving(leaving, target)
+    return known._replace(targets=known.targets.set(target.name, listed))
+
+
+def forget_left(known: Directory, before: float) -> Directory:
+    """Drops the words of unlisted lives that could be used until `before`."""
+    leaving = known.leaving
+    for life, used_until in known.leaving.items():
+        if used_until < before and life.target not in known.targets:
+            leaving = leaving.delete(life)
+    return known._replace(leaving=leaving)
 
 
 def drop(
@@ -165,6 +204,24 @@
     return 'changed'
 
 
+def _as_leaving(leaving: immutables.Map[Life, float], target: Target) -> Target:
+    """Returns a target, as one that leaves if that life has said so."""
+    used_until = leaving.get(life_of(target))
+    if used_until is None:
+        return target
+    return target._replace(is_draining=True, used_until=used_until)
+
+
+def _without_earlier(
+    leaving: immutables.Map[Life, float], target: Target
+) -> immutables.Map[Life, float]:
+    """Returns `leaving` without the lives before that of `target`."""
+    for life in leaving:
+        if life.target == target.name and life.born < target.born:
+            leaving = leaving.delete(life)
+    return leaving
+
+
 def _is_stale(before: Target, target: Target) -> bool:
     if target.born != before.born:
         return target.born < before.born
--- a/src/bilberryglade/_targets/standing.py
+++ b/src/bilberryglade/_targets/standing.py
@@ -87,6 +87,8 @@
     doubtful_until: float = 0
     #: When this instance last sent to the target while it was cold.
     cold_sent_at: float = 0
+    #: Until then the target wants nothing from this instance, by its own word.
+    held_off_until: float = 0
 
 
 def sent(standing: Standing) -> Standing:
@@ -136,6 +138,15 @@
     return standing._replace(others=others, reported_at=now)
 
 
+def held_off(standing: Standing, seconds: float, now: float) -> Standing:
+    """Takes in that a target wants nothing from this instance for a while.
+
+    A later answer of a shorter time does not end an earlier one.
+    """
+    until = max(standing.held_off_until, now + seconds)
+    return standing._replace(held_off_until=until)
+
+
 def failed(standing: Standing) -> Standing:
     """Takes in that a target did not do what it had room for."""
     return standing._replace(failing=_mixed(standing.failing, 1.0))
--- a/src/bilberryglade/platform/exchange.py
+++ b/src/bilberryglade/platform/exchange.py
@@ -1,6 +1,8 @@
 """One request to a target as the platform's protocol has it."""
 
+import re
 import typing
+from collections import abc
 
 import result
 
@@ -19,6 +21,12 @@
 #: Statuses by which callers are told that a request has not run.
 PROMISING_STATUSES: typing.Final = frozenset((408, 429, 503))
 PERCENT: typing.Final = 100
+#: The one text that says that a target leaves.
+LEAVING_TEXT: typing.Final = '1'
+#: Seconds as a target may write them; dates and signs are none.
+SECONDS: typing.Final = re.compile(r'[0-9]{1,12}(\.[0-9]{1,12})?')
+#: A target that asks for more gets its requests again after this.
+LONGEST_HOLD_SECONDS: typing.Final = 3600.0
 
 
 class TargetExchange:
@@ -27,6 +35,8 @@
     def __init__(self, http: sender.Sender) -> None:
         """Sends through `http`."""
         self.http = http
+        #: Headers of targets of which nothing could be made, by name.
+        self.odd_headers: dict[str, int] = {}
 
     async def __call__(
         self,
@@ -48,7 +58,11 @@
         outcome = await self.http.send(call, on_fresh=False)
         if not isinstance(outcome, outcomes.Answered):
             return request_sender.ExchangeResult(outcome)
-        return understood(request.request_id, outcome)
+        understanding = understood(request.request_id, outcome)
+        if understanding.odd_header:
+            name = understanding.odd_header
+            self.odd_headers[name] = self.odd_headers.get(name, 0) + 1
+        return understanding.exchange
 
 
 def marked(request_id: str) -> marks.Marks:
@@ -56,20 +70,67 @@
     return marks.Marks(outcomes.Header(headers.REQUEST_ID, request_id))
 
 
-def understood(
-    request_id: str, answer: outcomes.Answered
-) -> request_sender.ExchangeResult:
+class Understanding(typing.NamedTuple):
+    """What a target's answer means."""
+
+    exchange: request_sender.ExchangeResult
+    #: Name of a header of which nothing can be made; '' if there is none.
+    odd_header: str = ''
+
+
+class Hold(typing.NamedTuple):
+    """For how long a target wants nothing from this instance."""
+
+    seconds: float
+    #: Whether a text that should say so does not.
+    is_odd: bool = False
+
+
+def understood(request_id: str, answer: outcomes.Answered) -> Understanding:
     """Returns what a target's answer means.
 
     An answer that doesn't bear the request's own id belongs to another one,
-    whatever it says: the request may run, and nothing is known of the load.
-    A success without the target's mark or with an encoded body is no answer, nor
-    is a status that would promise callers what the target did not say.
+    whatever it says: the request may run, and nothing is known of the target.
     """
     if not marks.are_own(marked(request_id), answer.status, answer.headers):
-        return request_sender.ExchangeResult(
-            outcomes.Unknown(outcomes.Reason.answer_lost)
+        return Understanding(
+            request_sender.ExchangeResult(
+                outcomes.Unknown(outcomes.Reason.answer_lost)
+            )
         )
+    exchange = _meaning(answer)
+    if exchange.is_misdirected:
+        # Another target may have this address now; what it says is its own.
+        return Understanding(exchange)
+    hold = Hold(0)
+    if answer.status == FULL_STATUS:
+        hold = hold_of(headers.all_of(answer.headers, headers.RETRY_AFTER))
+    told = headers.all_of(answer.headers, headers.LEAVING)
+    return Understanding(
+        exchange._replace(
+            is_leaving=LEAVING_TEXT in told, hold_seconds=hold.seconds
+        ),
+        headers.RETRY_AFTER if hold.is_odd else '',
+    )
+
+
+def hold_of(texts: abc.Sequence[str]) -> Hold:
+    """Returns the time that a target asks for in the texts of a header.
+
+    Of several the longest holds, as the careful reading.
+    """
+    stripped = [text.strip() for text in texts]
+    seconds = [float(text) for text in stripped if SECONDS.fullmatch(text)]
+    longest = min(max(seconds, default=0), LONGEST_HOLD_SECONDS)
+    return Hold(longest, is_odd=len(seconds) < len(texts))
+
+
+def _meaning(answer: outcomes.Answered) -> request_sender.ExchangeResult:
+    """Returns what an answer to the request says of it and of the load.
+
+    A success without the target's mark or with an encoded body is no answer, nor
+    is a status that would promise callers what the target did not say.
+    """
     report = report_of(headers.find(answer.headers, headers.LOAD))
     if answer.status == MISDIRECTED_STATUS:
         refused = outcomes.NotRun(outcomes.Reason.not_owner)
--- a/src/bilberryglade/platform/front.py
+++ b/src/bilberryglade/platform/front.py
@@ -66,6 +66,11 @@
 LATE_STATUS: typing.Final = 504
 GONE_STATUS: typing.Final = 499
 
+#: What a request met that is still under way when the instance ends.
+ENDED: typing.Final = router.DeliveryResult(
+    outcomes.Unknown(outcomes.Reason.stopping)
+)
+
 Observe: typing.TypeAlias = abc.Callable[
     [admission.Incoming, router.DeliveryResult, int, float],
     None,
@@ -85,6 +90,8 @@
         self.router = routing_core
         self.observe = observe
         self.bounds = is_known
+        #: Done when the instance ends: what still runs is answered then.
+        self.ending: asyncio.Future[None] = asyncio.Future()
 
     async def serve(self, request: requests.Request) -> responses.Response:
         """Answers one request."""
@@ -119,21 +126,33 @@
         work = asyncio.create_task(self.router.serve(incoming))
         leaving = asyncio.create_task(_wait_for_leaving(request))
         try:
-            await asyncio.wait(
-                (work, leaving), return_when=asyncio.FIRST_COMPLETED
-            )
-            sent = self.router.sender.is_unrepeatable_in_flight(
-                incoming.request_id
-            )
-            if not work.done() and not sent:
+            return await self._first_end(incoming, work, leaving)
+        finally:
+            leaving.cancel()
+            work.cancel()
+
+    async def _first_end(
+        self,
+        incoming: admission.Incoming,
+        work: asyncio.Task[router.DeliveryResult],
+        leaving: asyncio.Task[None],
+    ) -> router.DeliveryResult | None:
+        """Returns what ended a request first: `work`, its caller or the stop."""
+        ending = self.ending
+        await asyncio.wait(
+            (work, leaving, ending), return_when=asyncio.FIRST_COMPLETED
+        )
+        sender = self.router.sender
+        if leaving.done() and not work.done():
+            if not sender.is_unrepeatable_in_flight(incoming.request_id):
                 work.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
                     await work
                 return None
-            return await work
-        finally:
-            leaving.cancel()
-            work.cancel()
+            await asyncio.wait(
+                (work, ending), return_when=asyncio.FIRST_COMPLETED
+            )
+        return work.result() if work.done() else ENDED
 
     def _observe(
         self,
--- a/src/bilberryglade/platform/headers.py
+++ b/src/bilberryglade/platform/headers.py
@@ -27,6 +27,8 @@
 LOAD: typing.Final = 'x-server-load'
 HANDOVER: typing.Final = 'x-handover'
 RETRY_AFTER: typing.Final = 'retry-after'
+#: A target that leaves says so in all its answers.
+LEAVING: typing.Final = 'server-leaving'
 CONTENT_ENCODING: typing.Final = 'content-encoding'
 
 
--- a/src/bilberryglade/platform/tests/test_exchange.py
+++ b/src/bilberryglade/platform/tests/test_exchange.py
@@ -56,7 +56,7 @@
         )
         for name, given, meant in cases:
             with self.subTest(name=name):
-                sent = exchange.understood(ID, given)
+                sent = exchange.understood(ID, given).exchange
                 self.assertEqual(sent.outcome, meant)
 
     def test_refusals(self) -> None:
@@ -72,7 +72,7 @@
         for status, why, told in cases:
             with self.subTest(status=status):
                 given = answer(status, (GOOD[0], not_run, GOOD[2]))
-                sent = exchange.understood(ID, given)
+                sent = exchange.understood(ID, given).exchange
                 self.assertEqual(sent.outcome, outcomes.NotRun(why))
                 self.assertEqual((sent.is_shed, sent.is_misdirected), told)
                 self.assertEqual(sent.report, exchange.report_of(LOAD))
@@ -87,15 +87,75 @@
                 with self.subTest(status=status, ids=ids):
                     sent = exchange.understood(
                         ID, answer(status, (*ids, *rest))
-                    )
+                    ).exchange
                     self.assertEqual(sent, request_sender.ExchangeResult(lost))
 
     def test_misdirected(self) -> None:
         """Another target at the address has not run the request."""
-        sent = exchange.understood(ID, answer(421, GOOD[:1]))
+        sent = exchange.understood(ID, answer(421, GOOD[:1])).exchange
         self.assertIsInstance(sent.outcome, outcomes.NotRun)
         self.assertTrue(sent.is_misdirected)
 
+    def test_leaving(self) -> None:
+        """Only the one text of a target's own answer says that it leaves."""
+        told = Header(headers.LEAVING, '1')
+        cases = (
+            ('good', answer(200, (*GOOD, told)), True),
+            ('failed', answer(500, (*GOOD, told)), True),
+            ('refused', answer(503, (*GOOD, told)), True),
+            ('of two texts', answer(200, (*GOOD, Header('x', ''), told)), True),
+            ('other text', answer(200, (*GOOD, Header(told.name, '0'))), False),
+            ('no word', answer(), False),
+            ('another request', answer(200, (*GOOD[1:], told)), False),
+            ('another target', answer(421, (GOOD[0], told)), False),
+        )
+        for name, given, is_leaving in cases:
+            with self.subTest(name=name):
+                sent = exchange.understood(ID, given).exchange
+                self.assertEqual(sent.is_leaving, is_leaving)
+
+    def test_hold(self) -> None:
+        """Seconds with or without a fraction; of several the longest."""
+        longest = exchange.LONGEST_HOLD_SECONDS
+        date = 'Sat, 05 Dec 2026 10:00:00 GMT'
+        cases = (
+            ((), 0, False),
+            (('2',), 2, False),
+            (('1.25',), 1.25, False),
+            ((' 3 ',), 3, False),
+            (('0',), 0, False),
+            (('999999999',), longest, False),
+            (('9' * 400,), 0, True),
+            (('-1',), 0, True),
+            (('+1',), 0, True),
+            (('1e3',), 0, True),
+            (('inf',), 0, True),
+            (('nan',), 0, True),
+            (('',), 0, True),
+            (('\u0662',), 0, True),
+            ((date,), 0, True),
+            (('1', '4', '2'), 4, False),
+            (('1', date), 1, True),
+        )
+        for texts, seconds, is_odd in cases:
+            with self.subTest(texts=texts):
+                self.assertEqual(
+                    exchange.hold_of(texts), exchange.Hold(seconds, is_odd)
+                )
+
+    def test_hold_of_refusals_alone(self) -> None:
+        """Other statuses say nothing of the time, nor do other targets."""
+        told = Header(headers.RETRY_AFTER, '2')
+        held = {
+            status: exchange.understood(
+                ID, answer(status, (GOOD[0], told))
+            ).exchange.hold_seconds
+            for status in (200, 421, 429, 500, 503)
+        }
+        self.assertEqual(
+            held, dict.fromkeys((200, 421, 429, 500), 0) | {503: 2}
+        )
+
     def test_load(self) -> None:
         """Load reports in any state name no load rather than a wrong one."""
         report = exchange.report_of(LOAD)
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -258,6 +258,16 @@
     target: str
 
 
+class Leaving(TypedDict):
+    """
+    Lives of targets that said in an answer that they leave.
+    """
+
+    kind: Literal['leaving']
+    sender: str
+    lives: list[OwnerLife]
+
+
 class PermitAsk(TypedDict):
     """
     An instance asks the dispatcher of a target, or of a service, whether a request may be sent. There is one for each request, so that names are short.
@@ -271,6 +281,7 @@
     aim_ms: Milliseconds
     left_ms: Milliseconds
     excluded: NotRequired[list[str]]
+    has_large_answer: NotRequired[bool]
 
 
 class PermitAnswer(TypedDict):
@@ -297,4 +308,5 @@
     number: Whole
     ending: str
     ms: Milliseconds
+    hold_ms: NotRequired[Milliseconds]
     load: NotRequired[list[Whole]]
--- a/src/bilberryglade_stand_ins/owning_target.py
+++ b/src/bilberryglade_stand_ins/owning_target.py
@@ -9,6 +9,7 @@
 LAST_KEY: typing.Final = 65_535
 CONFLICT: typing.Final = 409
 MISDIRECTED: typing.Final = 421
+UNAVAILABLE: typing.Final = 503
 MILLISECONDS: typing.Final = 1000
 
 
@@ -47,10 +48,18 @@
         #: Whether it denies to hold any key, whatever it was granted.
         self.denies = False
         self.work_seconds = 0.01
+        #: Seconds of work on requests with these paths.
+        self.work_by_path: dict[str, float] = {}
         #: Status of answers to requests.
         self.status = 200
         #: Header that is left out of answers; none if empty.
         self.without_header = ''
+        #: Texts of the header that says that it leaves, on all answers.
+        self.leaving_texts: tuple[str, ...] = ()
+        #: While there are any, requests are turned away with these `Retry-After`.
+        self.hold_texts: tuple[str, ...] = ()
+        #: Monotonic seconds at which requests arrived, refused ones included.
+        self.arrivals: list[float] = []
         #: Orders to come that are left unanswered and carried out later.
         self.late_orders: float = 0
 
@@ -91,6 +100,7 @@
 
     async def run(self, request: requests.Request) -> responses.Response:
         """Runs a request, or says that it does not."""
+        self.arrivals.append(time.monotonic())
         named = request.headers.get('x-target-instance', self.name)
         text = request.headers.get('x-shard-key')
         key = int(text) if text else None
@@ -102,18 +112,25 @@
                 status_code=MISDIRECTED,
                 headers={'x-request-id': request_id, 'x-not-executed': '1'},
             )
+        if self.hold_texts:
+            return self._turned_away(request_id)
         organisation = request.headers.get('x-tenant-id', '')
         self.runs.append(Run(request_id, key, organisation, time.monotonic()))
-        await asyncio.sleep(self.work_seconds)
+        await asyncio.sleep(
+            self.work_by_path.get(request.url.path, self.work_seconds)
+        )
         headers = {
             'x-request-id': request_id,
             'x-response-signature': f'{self.name}.1',
             'x-server-load': '1,0,2,100',
         }
         headers.pop(self.without_header, None)
-        return responses.Response(
+        response = responses.Response(
             f'{self.name} ran it', self.status, headers=headers
         )
+        for text in self.leaving_texts:
+            response.headers.append('Server-Leaving', text)
+        return response
 
     def application(self) -> applications.Starlette:
         """Returns the HTTP application."""
@@ -132,6 +149,15 @@
             ],
         )
 
+    def _turned_away(self, request_id: str) -> responses.Response:
+        response = responses.Response(
+            status_code=UNAVAILABLE,
+            headers={'x-request-id': request_id, 'x-not-executed': '1'},
+        )
+        for text in self.hold_texts:
+            response.headers.append('Retry-After', text)
+        return response
+
 
 def _overlaps(held: Held, first: int, last: int) -> bool:
     return held.first <= last and held.last >= first
