--- a/src/bilberryglade/_targets/choosing.py
+++ b/src/bilberryglade/_targets/choosing.py
@@ -13,8 +13,6 @@
 
 #: Factor on the cost of a target in another failure domain.
 REMOTE_FACTOR: typing.Final = 1.08
-#: The same if the answer is large: links between failure domains are scarce.
-LARGE_REMOTE_FACTOR: typing.Final = 2.5
 #: Factor on the cost of a target that leaves: it is for what only it can serve.
 LEAVING_FACTOR: typing.Final = 10.0
 #: Factor on the cost of a cold target.
@@ -80,6 +78,8 @@
     usable = [view for view in views if _is_usable(view, demand, now)]
     if not usable:
         return refuse(views, now)
+    if demand.has_large_answer:
+        usable = _nearby(usable, demand, now) or usable
     best = min(usable, key=lambda view: _cost(view, demand, now))
     places = best.target.places
     waiting = standing.waiting_seconds(best.standing, places, now)
@@ -88,6 +88,27 @@
     return best
 
 
+def _nearby(
+    views: abc.Sequence[View],
+    demand: Demand,
+    now: float,
+) -> list[View]:
+    """Returns the targets of the own failure domain that have room.
+
+    Links between failure domains are scarce, so a large answer crosses one only
+    for want of room nearby.
+    """
+    return [
+        view
+        for view in views
+        if view.target.failure_domain == demand.failure_domain
+        and not is_cold(view, now)
+        and not view.target.is_draining
+        and standing.waiting_seconds(view.standing, view.target.places, now)
+        <= patience(view.standing, demand, now)
+    ]
+
+
 def patience(
     known: standing.Standing,
     demand: Demand,
@@ -168,9 +189,7 @@
 def _cost(view: View, demand: Demand, now: float) -> float:
     factor = 1.0
     if view.target.failure_domain != demand.failure_domain:
-        factor *= (
-            LARGE_REMOTE_FACTOR if demand.has_large_answer else REMOTE_FACTOR
-        )
+        factor *= REMOTE_FACTOR
     if view.target.is_draining:
         factor *= LEAVING_FACTOR
     if is_cold(view, now):
