Take back few dispatchers, greetings by need and slower beats

Ruled out: silent members taken off the list by a new coordinator (30 instances, takeover after 17 s). Supposed, not traced: weak instances win the lease, since looks at it share one pace and the time for which they yield is over by then.

--- a/src/bilberryglade/_delivery/permit_broker.py
+++ b/src/bilberryglade/_delivery/permit_broker.py
@@ -8,10 +8,8 @@
 by the requesting instance's own view of the targets.
 """
 
-import math
 import random
 import typing
-from collections import abc
 
 from bilberryglade._delivery import permits, send_results
 from bilberryglade._membership import fleet
@@ -27,8 +25,6 @@
 FIRST_SKIP_SECONDS: typing.Final = 1.0
 #: Longest time for which a dispatcher is skipped.
 MAX_SKIP_SECONDS: typing.Final = 8.0
-#: Dispatchers of a failure domain that has as many instances.
-MIN_DISPATCHERS: typing.Final = 4
 MS_PER_SECOND: typing.Final = 1000
 #: A process numbers its permit requests from a random start below this, so that
 #: answers to an earlier process of the instance are not mistaken for its own.
@@ -270,9 +266,9 @@
     failure_domain: str,
     members: fleet.Fleet,
 ) -> tuple[str, ...]:
-    """Returns the names of the dispatchers that are not leaving, by rank.
+    """Returns the names of all members that are not leaving, by rank.
 
-    The first one is the dispatcher of `pool`. Those in `failure_domain` come
+    The first one is the dispatcher of `pool`. Members in `failure_domain` come
     before all others.
     """
     staying = [
@@ -281,7 +277,7 @@
         if member.name not in members.leaving
     ]
     ranked = sorted(
-        select_dispatchers(staying),
+        staying,
         key=lambda member: (
             member.failure_domain != failure_domain,
             -spreading.score(member.name, pool),
@@ -290,28 +286,6 @@
     return tuple(member.name for member in ranked)
 
 
-def select_dispatchers(
-    members: abc.Iterable[fleet.Member],
-) -> list[fleet.Member]:
-    """Returns the members that grant permits: the strongest of each domain.
-
-    Every instance has connections to all of them, so their number grows with the
-    square root of the fleet.
-    """
-    by_domain: dict[str, list[fleet.Member]] = {}
-    for member in members:
-        by_domain.setdefault(member.failure_domain, []).append(member)
-    selected: list[fleet.Member] = []
-    for group in by_domain.values():
-        count = max(math.isqrt(len(group)), MIN_DISPATCHERS)
-        selected.extend(sorted(group, key=_strength_key)[:count])
-    return selected
-
-
-def _strength_key(member: fleet.Member) -> tuple[float, str]:
-    return (-member.processor, member.name)
-
-
 def _parse_answer(
     message: messages.PermitAnswer, dispatcher: str
 ) -> PermitResult:
--- a/src/bilberryglade/_delivery/tests/test_permit_broker.py
+++ b/src/bilberryglade/_delivery/tests/test_permit_broker.py
@@ -155,35 +155,3 @@
 
 def _no_spacing(_service: str) -> float:
     return 0
-
-
-class DispatchersTests(unittest.TestCase):
-    """Which members of a fleet grant permits."""
-
-    def test_few_of_many(self) -> None:
-        """The strongest of each failure domain, by the root of its size."""
-        members = [
-            fleet.Member(
-                f'{domain}{number}', 'b', 'x', domain, processor=number % 3
-            )
-            for domain, size in (('a', 49), ('b', 100), ('c', 3))
-            for number in range(size)
-        ]
-        chosen = permit_broker.select_dispatchers(members)
-        by_domain = {
-            domain: [one for one in chosen if one.failure_domain == domain]
-            for domain in ('a', 'b', 'c')
-        }
-        sizes = {name: len(group) for name, group in by_domain.items()}
-        self.assertEqual(sizes, {'a': 7, 'b': 10, 'c': 3})
-        for name in ('a', 'b'):
-            strengths = {one.processor for one in by_domain[name]}
-            self.assertEqual(strengths, {2})
-
-    def test_all_of_few(self) -> None:
-        """A domain of four has its own four."""
-        members = [
-            fleet.Member(f'e{number}', 'b', 'x', 'a') for number in range(4)
-        ]
-        chosen = permit_broker.select_dispatchers(reversed(members))
-        self.assertEqual(chosen, members)
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -100,7 +100,6 @@
         self.enrolment = enrolment.Enrolment(self.fleet, client, self.candidacy)
         self.reader = reading.Reader(self.fleet, client, self.candidacy)
         self.operators = operators.Operators(self.reader)
-        self.operators.ask_for_all = self.enrolment.greet
         self.departures = departures.Departures(
             self.fleet, self.reader, self.candidacy, place.bounds.drain
         )
@@ -167,7 +166,12 @@
 
     def is_ready(self) -> bool:
         """Tells whether callers may be sent here."""
-        return not self.stopping.is_set() and self.reader.is_informed()
+        known = self.reader.known
+        return (
+            not self.stopping.is_set()
+            and known.catalogue is not None
+            and topics.TARGETS in known.read_at
+        )
 
     def forget_gone(self) -> None:
         """Drops permits that have run out, and targets that have left."""
@@ -220,7 +224,6 @@
         )
         self.candidacy.on_start.append(self.pools.begin)
         self.candidacy.on_start.append(self.lead)
-        self.candidacy.on_start.append(self.steward.granted.set)
         self.candidacy.on_end.append(self.tell_end)
         self.ledger = permits.PermitLedger(self.targets_of, self.cold_spacing)
         self.dispatching = permit_broker.PermitBroker(self.fleet, self.ledger)
@@ -371,7 +374,7 @@
         )
         parts.router.ends_at = ends_at
         loguru.logger.info('stopping, for {:g} s at most', ends_at - began)
-        parts.enrolment.take_leave()
+        parts.fleet.send_all(parts.fleet.hello(is_leaving=True))
         await parts.candidacy.resign()
         noticed_at = min(began + NOTICE_SECONDS, ends_at)
         await asyncio.sleep(max(noticed_at - clock.now(), 0))
--- a/src/bilberryglade/_instance/serving.py
+++ b/src/bilberryglade/_instance/serving.py
@@ -14,10 +14,6 @@
 MILLISECONDS: typing.Final = 1000
 DEFAULT_NOTICE_MS: typing.Final = 500
 ARRIVAL_GRACE_SECONDS: typing.Final = 0.2
-#: Seconds between two looks of a server whether it is to exit.
-LOOK_SECONDS: typing.Final = 0.5
-#: Ticks of the library between two looks at the clock.
-TICKS_OF_DATE: typing.Final = 10
 CLOSE_HEADER: typing.Final = (b'connection', b'close')
 DEFAULT_HEADER_BYTES: typing.Final = 65_536
 DEFAULT_CONNECTIONS: typing.Final = 4096
@@ -142,14 +138,6 @@
 class Server(uvicorn.Server):
     """A server that leaves signals to the instance."""
 
-    async def main_loop(self) -> None:
-        """Runs until the server is to exit; looks seldom, not ten times a second."""
-        ticks = 0
-        while not await self.on_tick(ticks):
-            # Each tenth tick of the library writes the time into answers.
-            ticks += TICKS_OF_DATE
-            await asyncio.sleep(LOOK_SECONDS)
-
     @contextlib.contextmanager
     def capture_signals(self) -> abc.Iterator[None]:
         """Captures nothing."""
--- a/src/bilberryglade/_knowledge/operators.py
+++ b/src/bilberryglade/_knowledge/operators.py
@@ -9,7 +9,6 @@
 import asyncio
 import math
 import typing
-from collections import abc
 
 import result
 
@@ -27,8 +26,6 @@
 CONFIRMED_SECONDS: typing.Final = 1.2
 LOOK_SECONDS: typing.Final = 0.1
 RETRY_SECONDS: typing.Final = 0.4
-#: The same while the coordinator confirms what is known.
-KEPT_RETRY_SECONDS: typing.Final = 2.0
 #: Stands for an age that is not known, in messages.
 UNKNOWN_AGE_MS: typing.Final = 1_000_000_000
 
@@ -52,8 +49,6 @@
         self.reader = reader
         #: Seconds at which what is known was the newest for certain.
         self.confirmed_at = -math.inf
-        #: Called with the name of a coordinator that knows what is missing here.
-        self.ask_for_all: abc.Callable[[str], None] = lambda _: None
 
     async def follow(self) -> None:
         """Follows the records until cancelled."""
@@ -62,7 +57,7 @@
             batch = await self._read()
             self.reader.note(TOPIC, batch)
             if isinstance(batch, result.Err) or self._is_stale(batch.ok_value):
-                await asyncio.sleep(self._retry_seconds())
+                await asyncio.sleep(RETRY_SECONDS)
                 continue
             # A long poll says what holds at its end; what it began with is
             # the safe side for a reading of everything.
@@ -78,8 +73,6 @@
         Whose reads of the store are refused or held up hears of a change from
         those that were answered.
         """
-        if not self.reader.is_informed():
-            self.ask_for_all(lead['sender'])
         own = self.mark()
         told = Mark(lead['operator_offset'], lead['operator_total'])
         if own == told:
@@ -123,23 +116,13 @@
         poll = asyncio.create_task(self.reader.client.read(TOPIC, end, wait_ms))
         try:
             while not poll.done() and self._is_confirmed():
-                age = clock.now() - self.confirmed_at
-                left = max(CONFIRMED_SECONDS - age, LOOK_SECONDS)
-                await asyncio.wait((poll,), timeout=left)
+                await asyncio.wait((poll,), timeout=LOOK_SECONDS)
             if poll.done():
                 return poll.result()
         finally:
             poll.cancel()
         return await self.reader.client.newest(TOPIC)
 
-    def _retry_seconds(self) -> float:
-        """Returns the pause after a failed read.
-
-        Whom the coordinator keeps up to date need not press the store.
-        """
-        is_kept = self.reader.lease.is_heard and self._is_confirmed()
-        return KEPT_RETRY_SECONDS if is_kept else RETRY_SECONDS
-
     def _is_stale(self, batch: stored.Batch) -> bool:
         """Tells whether a reading is older than what is known."""
         return batch.end < self.reader.known.ends.get(TOPIC, 0)
--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -26,7 +26,6 @@
 #: Seconds between the turns of two instances.
 TURN_STEP_SECONDS: typing.Final = 0.12
 LOOK_SECONDS: typing.Final = 0.1
-MOST_LOOK_SECONDS: typing.Final = 0.4
 RETRY_SECONDS: typing.Final = 0.4
 LEAST_PAUSE_SECONDS: typing.Final = 0.05
 #: Seconds between relays that only tell that nothing is new.
@@ -57,17 +56,11 @@
         #: Whether the last call of this instance was answered, by topic.
         self.is_answered: dict[str, bool] = {}
 
-    def is_informed(self) -> bool:
-        """Tells whether the configuration and the targets are known."""
-        known = self.known
-        return known.catalogue is not None and topics.TARGETS in known.read_at
-
     async def follow_targets(self) -> None:
         """Reads the targets' entries in turn until cancelled."""
         while True:
-            until_due = self._seconds_until_due()
-            if until_due > 0:
-                await asyncio.sleep(max(until_due, LOOK_SECONDS))
+            if not self._is_due():
+                await asyncio.sleep(LOOK_SECONDS)
                 continue
             began = clock.now()
             answered = await self.read_targets()
@@ -225,18 +218,13 @@
             or record.payload is None
         )
 
-    def _seconds_until_due(self) -> float:
-        """Returns the time until this instance is to read, if nobody else does.
-
-        It is bounded, since this instance may come to coordinate.
-        """
+    def _is_due(self) -> bool:
         if self.lease.holds:
-            return 0
+            return True
         age = self.known.age(topics.TARGETS, clock.now())
         names = sorted(self.members.members)
         turn = names.index(self.members.own.name)
-        left = TURN_SECONDS + turn * TURN_STEP_SECONDS - age
-        return min(left, MOST_LOOK_SECONDS)
+        return age > TURN_SECONDS + turn * TURN_STEP_SECONDS
 
     def _relay_targets(self, news: stored.Batch, read_at: float) -> None:
         now = clock.now()
--- a/src/bilberryglade/_membership/candidacy.py
+++ b/src/bilberryglade/_membership/candidacy.py
@@ -20,8 +20,6 @@
 SILENCE_SECONDS: typing.Final = 1.4
 #: Seconds between two looks; drawn anew each time so that few come together.
 LOOK_SECONDS: typing.Final = (0.25, 0.55)
-#: Instances up to which each looks that often.
-LOOKING: typing.Final = 24
 IDLE_SECONDS: typing.Final = 0.2
 #: Seconds for which an instance leaves a free lease to others that have this
 #: many times its processor time, and how lately these must have been heard.
@@ -67,13 +65,6 @@
         """Whether this instance coordinates now."""
         return leadership.holds(self.state, clock.now())
 
-    @property
-    def holder(self) -> str:
-        """Name of the coordinator by its own word, or by the store's."""
-        if self.coordinator or self.state.seen is None:
-            return self.coordinator
-        return self.state.seen.holder
-
     @property
     def is_led(self) -> bool:
         """Whether this instance has no reason to look at the lease."""
@@ -165,9 +156,7 @@
             if isinstance(appended, result.Ok):
                 self._hold(appended.ok_value, sent_at)
                 return
-        # The more look, the seldomer each does: together they look as often.
-        share = max(len(self.members.members) / LOOKING, 1)
-        await asyncio.sleep(random.uniform(*LOOK_SECONDS) * share)
+        await asyncio.sleep(random.uniform(*LOOK_SECONDS))
 
     def _yields(self) -> bool:
         """Tells whether to leave the lease to a stronger instance for now.
@@ -179,19 +168,12 @@
             return False
         least = self.members.own.processor * STRONGER_RATIO
         return any(
-            member.processor >= least and not self._is_silent(member.name)
+            member.processor >= least
+            and self.members.silence_of(member.name) < HEARD_SECONDS
             for member in self.members.others()
             if member.name not in self.members.leaving
         )
 
-    def _is_silent(self, name: str) -> bool:
-        """Tells whether a member was heard before, but not lately.
-
-        Most instances have nothing to tell one another.
-        """
-        is_known = name in self.members.heard
-        return is_known and self.members.silence_of(name) >= HEARD_SECONDS
-
     async def _read(self) -> bool:
         """Reads the newest claim; returns whether the store answered."""
         newest = await self.client.newest(TOPIC)
--- a/src/bilberryglade/_membership/enrolment.py
+++ b/src/bilberryglade/_membership/enrolment.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import random
 import typing
 
 import loguru
@@ -24,17 +23,7 @@
 MEMBERS_TOPIC: typing.Final = 'members'
 #: Milliseconds for which a read of the members waits for news.
 WAIT_MS: typing.Final = 20_000
-#: First pause after a call that failed, the longest one, and the factors
-#: between which each is drawn, so that few come together.
 RETRY_SECONDS: typing.Final = 0.4
-MOST_RETRY_SECONDS: typing.Final = 3.0
-RETRY_SPREAD: typing.Final = (0.7, 1.3)
-#: Seconds between two reads of the members; news wait for the next one.
-READ_PAUSE_SECONDS: typing.Final = (0.6, 1.0)
-#: Shortest time between two greetings of a coordinator.
-GREET_SECONDS: typing.Final = 1.0
-#: Seconds since the last message of those who are told of a planned stop.
-ACQUAINTED_SECONDS: typing.Final = 10.0
 #: Seconds of silence after which the coordinator takes a member off the list.
 SILENT_SECONDS: typing.Final = 15.0
 SWEEP_SECONDS: typing.Final = 5.0
@@ -58,24 +47,6 @@
         await asyncio.sleep(RETRY_SECONDS)
 
 
-class Backoff:
-    """Ever longer pauses between calls that the store refuses."""
-
-    def __init__(self) -> None:
-        """Starts with the shortest pause."""
-        self.seconds = RETRY_SECONDS
-
-    def reset(self) -> None:
-        """Takes in a call that was answered."""
-        self.seconds = RETRY_SECONDS
-
-    async def pause(self) -> None:
-        """Waits; the next pause is longer."""
-        seconds = self.seconds * random.uniform(*RETRY_SPREAD)
-        self.seconds = min(self.seconds * 2, MOST_RETRY_SECONDS)
-        await asyncio.sleep(seconds)
-
-
 class Enrolment:
     """Keeps this instance's entry, and follows those of the others."""
 
@@ -93,8 +64,6 @@
         self.is_read = False
         #: Names whose entries could not be read, which were told once.
         self.unreadable: set[str] = set()
-        #: Seconds at which this instance told a coordinator of itself last.
-        self.greeted_at = float('-inf')
 
     async def join(self) -> None:
         """Writes this instance's entry; asks until the store took it."""
@@ -106,19 +75,17 @@
             'processor': own.processor,
         }
         payload = codec.encode_packed(entry)
-        backoff = Backoff()
         while True:
             appended = await self.client.append(
                 MEMBERS_TOPIC, own.name, payload
             )
             if isinstance(appended, result.Ok):
                 return
-            await backoff.pause()
+            await asyncio.sleep(RETRY_SECONDS)
 
     async def follow(self) -> None:
         """Joins, then follows the list until cancelled."""
         end: int | None = None
-        backoff = Backoff()
         await self.join()
         while True:
             if end is None:
@@ -127,37 +94,15 @@
                 batch = await self.client.read(MEMBERS_TOPIC, end, WAIT_MS)
             if isinstance(batch, result.Err):
                 end = None
-                await backoff.pause()
+                await asyncio.sleep(RETRY_SECONDS)
                 continue
-            backoff.reset()
             end = batch.ok_value.end
             was_listed = self._take(batch.ok_value)
             if not was_listed:
                 await self.join()
             if not self.is_read:
                 self.is_read = True
-                self.greet(self.lease.holder)
-            # Instances that start together are read together.
-            await asyncio.sleep(random.uniform(*READ_PAUSE_SECONDS))
-
-    def greet(self, name: str) -> None:
-        """Tells an instance, the coordinator, that this one has started."""
-        now = clock.now()
-        if name and now - self.greeted_at >= GREET_SECONDS:
-            self.greeted_at = now
-            self.members.send(name, self.members.hello(is_leaving=False))
-
-    def take_leave(self) -> None:
-        """Tells those who may send to this instance that it is about to stop.
-
-        Others have nothing to do with it, or hear of it from the store.
-        """
-        message = self.members.hello(is_leaving=True)
-        for member in self.members.others():
-            silence = self.members.silence_of(member.name)
-            is_known = member.name == self.lease.coordinator
-            if is_known or silence < ACQUAINTED_SECONDS:
-                self.members.send(member.name, message)
+                self.members.send_all(self.members.hello(is_leaving=False))
 
     async def sweep(self) -> None:
         """Takes silent members off the list while coordinating."""
--- a/src/bilberryglade/_ownership/table_manager.py
+++ b/src/bilberryglade/_ownership/table_manager.py
@@ -36,9 +36,6 @@
 RETRY_SECONDS: typing.Final = 0.3
 #: Longest pause between two rounds of the coordinator.
 TICK_SECONDS: typing.Final = 0.1
-#: Time between two looks of an instance that does not coordinate, in seconds;
-#: the start of its lease ends the wait.
-IDLE_SECONDS: typing.Final = 0.5
 #: Seconds between two checks for a key that has become hot.
 HOT_KEY_CHECK_SECONDS: typing.Final = 0.4
 #: Seconds between two plans that balance the load of the targets.
@@ -74,8 +71,7 @@
         self.lease_manager = leasing
         self.load_sum = load_sum
         self.candidates = candidates.Candidates(reader, leasing, load_sum)
-        #: Set when a range is granted to its owner for the first time, or when
-        #: this instance becomes coordinator: the next round starts at once.
+        #: Set when a range is granted to its owner for the first time.
         self.granted = asyncio.Event()
         leasing.on_first_grant = self.granted.set
         #: Candidates for which each service's table was planned last.
@@ -152,10 +148,7 @@
     async def _wait_for_next_round(self) -> None:
         """Waits for the next round; the first grant of a range starts it early."""
         try:
-            is_idle = self.term < 0 and not self.lease.holds
-            async with asyncio.timeout(
-                IDLE_SECONDS if is_idle else TICK_SECONDS
-            ):
+            async with asyncio.timeout(TICK_SECONDS):
                 await self.granted.wait()
         except TimeoutError:
             # The round runs anyway: timers may be due and targets may have
--- a/src/bilberryglade/_peers/network.py
+++ b/src/bilberryglade/_peers/network.py
@@ -19,12 +19,10 @@
 #: again. The other side only answers, since heartbeats grow with the square of
 #: the instances.
 HEARTBEAT_MS: typing.Final = 1000
-#: The time for an answer, and the silence after which the side that answers drops a
-#: connection, in times of that between two heartbeats.
-HEARTBEAT_TIMEOUT_BEATS: typing.Final = 1.5
-HEARTBEAT_TTL_BEATS: typing.Final = 3
-#: Connections up to which each beats that often; of more all together do.
-BEATING: typing.Final = 32
+HEARTBEAT_TIMEOUT_MS: typing.Final = 1500
+#: Silence after which the side that answers drops a connection; in steps of
+#: 100 ms.
+HEARTBEAT_TTL_MS: typing.Final = 3000
 LINGER_MS: typing.Final = 0
 #: Longest wait for a connection: the system would ask again only after ever
 #: longer pauses, long after a partition has healed.
@@ -171,11 +169,9 @@
         sender.curve_serverkey = self._public_key()
         self._secure(sender)
         self._bound(sender)
-        share = max(len(self.senders) / BEATING, 1)
-        beat = int(HEARTBEAT_MS * share)
-        sender.heartbeat_ivl = beat
-        sender.heartbeat_timeout = int(beat * HEARTBEAT_TIMEOUT_BEATS)
-        sender.heartbeat_ttl = int(beat * HEARTBEAT_TTL_BEATS)
+        sender.heartbeat_ivl = HEARTBEAT_MS
+        sender.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
+        sender.heartbeat_ttl = HEARTBEAT_TTL_MS
         sender.connect_timeout = CONNECT_MS
         sender.reconnect_ivl = RECONNECT_MS
         sender.reconnect_ivl_max = LONGEST_RECONNECT_MS
