Configurations and stops use what the project has; holds are kept once

codec.attempt takes the place of a second one in catalogues; a table of which no row can be read is told by the reader of tables, not by a loop over three of them; the time after which a request is given up is worked out in one place; a granted permit starts from the ledger's own standing, so that the asking instance's hold need not be taken out again; two counters share their step.

--- a/src/bilberryglade/_delivery/last_calls.py
+++ b/src/bilberryglade/_delivery/last_calls.py
@@ -14,14 +14,9 @@
 ANSWER_MARGIN_SECONDS: typing.Final = 0.1
 
 
-def can_finish(
-    timeout: float,
-    patience: float | None,
-    seconds_left: float,
-) -> bool:
+def can_finish(longest: float, seconds_left: float) -> bool:
     """Tells whether a request ends before the instance, whatever it meets.
 
-    `timeout` is its route's, `patience` its caller's; both are in seconds.
+    `longest` is the time in seconds after which it is given up.
     """
-    longest = timeout if patience is None else min(timeout, patience)
     return longest + ANSWER_MARGIN_SECONDS <= seconds_left
--- a/src/bilberryglade/_delivery/permits.py
+++ b/src/bilberryglade/_delivery/permits.py
@@ -184,10 +184,12 @@
     def _record_grant(
         self, request: PermitRequest, chosen: choosing.View, now: float
     ) -> None:
-        current = standing.sent(chosen.standing)._replace(held_off_until=0)
+        life = directory.life_of(chosen.target)
+        # Not that of the view, which holds the asking instance's hold.
+        current = standing.sent(self.standings.get(life, standing.Standing()))
         if choosing.is_cold(chosen, now):
             current = current._replace(cold_sent_at=now)
-        self.standings[directory.life_of(chosen.target)] = current
+        self.standings[life] = current
         expires_at = now + request.demand.time_left + EXPIRY_MARGIN_SECONDS
         waiting = standing.waiting_rounds(
             chosen.standing, chosen.target.places, now
--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -136,8 +136,7 @@
         earlier_wait = self._earlier_wait(request, admitted.route)
         delivery = delivery._replace(waited_seconds=earlier_wait)
         if not last_calls.can_finish(
-            admitted.route.timeout,
-            request.patience,
+            longest_seconds(request, admitted.route),
             self.ends_at - request.arrived_at,
         ):
             refused = outcomes.NotRun(outcomes.Reason.stopping)
@@ -188,9 +187,6 @@
         split = splitting.choose(turns)
         self.turns[route.name] = split.turns
         service = split.service
-        patience = route.timeout
-        if request.patience is not None:
-            patience = min(patience, request.patience)
         current_budget = self.retry_budgets.get(
             service
         ) or retry_budget.full_budget(
@@ -203,7 +199,7 @@
             request=request,
             admitted=admitted,
             service=service,
-            deadline=request.arrived_at + patience,
+            deadline=request.arrived_at + longest_seconds(request, route),
             aim_until=request.arrived_at + route.aim - earlier_wait,
         )
 
@@ -478,6 +474,15 @@
         )
 
 
+def longest_seconds(
+    request: admission.Incoming, route: catalogue.Route
+) -> float:
+    """Returns the time after which the caller or the route gives up."""
+    if request.patience is None:
+        return route.timeout
+    return min(route.timeout, request.patience)
+
+
 def may_retry(job: Job, delivery: DeliveryResult) -> bool:
     """Returns whether a request may be sent once more.
 
--- a/src/bilberryglade/_knowledge/left_out.py
+++ b/src/bilberryglade/_knowledge/left_out.py
@@ -35,8 +35,7 @@
     cause: str,
 ) -> LeftOut:
     """Takes in a record that was left out, and tells of a new cause."""
-    count = known.counts.get(topic, 0) + 1
-    counted = known._replace(counts=known.counts.set(topic, count))
+    counted = known._replace(counts=_incremented(known.counts, topic))
     return _told(counted, topic, record, f'left out: {cause}')
 
 
@@ -50,11 +49,16 @@
 
     `cause` begins with the path of the part.
     """
-    count = known.part_counts.get(topic, 0) + 1
-    counted = known._replace(part_counts=known.part_counts.set(topic, count))
+    counted = known._replace(part_counts=_incremented(known.part_counts, topic))
     return _told(counted, topic, record, f'in force but for {cause}')
 
 
+def _incremented(
+    counts: immutables.Map[str, int], topic: str
+) -> immutables.Map[str, int]:
+    return counts.set(topic, counts.get(topic, 0) + 1)
+
+
 def _told(
     known: LeftOut,
     topic: str,
--- a/src/bilberryglade/platform/catalogues.py
+++ b/src/bilberryglade/platform/catalogues.py
@@ -122,14 +122,6 @@
         return services
     if isinstance(organisations, result.Err):
         return organisations
-    for name, table in (
-        ('routes', routes.ok_value),
-        ('services', services.ok_value),
-        ('tenants', organisations.ok_value),
-    ):
-        if table.odd and not table.rows:
-            cause = table.issues[0].cause
-            return result.Err(f'{name}: no row can be read: {cause}')
     return result.Ok(
         Tables(routes.ok_value, services.ok_value, organisations.ok_value)
     )
@@ -142,23 +134,12 @@
 ) -> catalogue.Catalogue:
     """Returns `empty` with what `tables` hold; adds to `issues`."""
     for path, service in tables.services.rows:
-        made = _attempt(functools.partial(_service, service), path, issues)
-        if made is not None:
-            empty.services[made.name] = made
-    for odd_route in tables.routes.odd:
-        _add_refused(empty, odd_route.fields)
-    for path, route in tables.routes.rows:
-        found = _attempt(
-            functools.partial(_route, route, empty.services), path, issues
-        )
-        if found is None:
-            _add_refused(empty, dict(route))
+        made = codec.attempt(functools.partial(_service, service))
+        if isinstance(made, result.Err):
+            issues.append(rows.Issue(path, made.err_value.detail))
             continue
-        empty.routes.setdefault(found.host, {})[found.prefix] = found
-        if len(found.parts) < len(route.get('traffic_split') or ()):
-            issues.append(
-                rows.Issue(f'{path}.traffic_split', 'names an unknown service')
-            )
+        empty.services[made.ok_value.name] = made.ok_value
+    _add_routes(empty, tables.routes, issues)
     for odd_holder in tables.organisations.odd:
         _add_odd_organisation(empty, odd_holder.fields)
     for _, holder in tables.organisations.rows:
@@ -167,20 +148,28 @@
     return empty
 
 
-Made = typing.TypeVar('Made')
-
-
-def _attempt(
-    make: typing.Callable[[], Made],
-    path: str,
+def _add_routes(
+    known: catalogue.Catalogue,
+    table: rows.Table[provider.RouteRow],
     issues: list[rows.Issue],
-) -> Made | None:
-    """Returns what `make` makes; None, and an issue, if a value is no good."""
-    try:
-        return make()
-    except ValueError as wrong:
-        issues.append(rows.Issue(path, str(wrong)))
-        return None
+) -> None:
+    """Adds routes to the services that are known; adds to `issues`."""
+    for odd_route in table.odd:
+        _add_refused(known, odd_route.fields)
+    for path, route in table.rows:
+        decoded = codec.attempt(
+            functools.partial(_route, route, known.services)
+        )
+        if isinstance(decoded, result.Err):
+            issues.append(rows.Issue(path, decoded.err_value.detail))
+            _add_refused(known, dict(route))
+            continue
+        found = decoded.ok_value
+        known.routes.setdefault(found.host, {})[found.prefix] = found
+        if len(found.parts) < len(route.get('traffic_split') or ()):
+            issues.append(
+                rows.Issue(f'{path}.traffic_split', 'names an unknown service')
+            )
 
 
 def _add_refused(
--- a/src/bilberryglade/platform/rows.py
+++ b/src/bilberryglade/platform/rows.py
@@ -74,7 +74,7 @@
 ) -> result.Result[Table[Row], str]:
     """Returns the rows of a table of `columns` and `rows`.
 
-    The error says why it is no table at all.
+    The error says why it is no table at all, or why none of its rows can be read.
     """
     fields = codec.decode_json(raw, dict[str, codec.Raw])
     if isinstance(fields, result.Err):
@@ -91,6 +91,9 @@
         _add_row(
             table, shape, f'{path}[{number}]', (columns.ok_value, bytes(row))
         )
+    if table.odd and not table.rows:
+        cause = table.issues[0].cause
+        return result.Err(f'{path}: no row can be read: {cause}')
     return result.Ok(table)
 
 
