--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""Settings files change while entries that start wait for the store."""
+"""A request that crashes upstreams comes again while entries restart by plan."""
 
 import asyncio
 import pathlib
@@ -8,70 +8,84 @@
 from stand_ins import deployment, upstream
 
 ENTRIES = 4
-#: The site's limit for an outage of the store.
-OUTAGE_SECONDS = 4.5
-ROUNDS = 3
-#: Between two planned stops.
-GAP_SECONDS = 1.3
-#: The Fault rule: two machines at least, three ends on each.
-MACHINES, ENDS = 2, 3
+PATH = '/look/poison/2f'
+#: The rule's bound on retries that reach upstreams.
+MOST_RETRIES = 3
+BACK_SECONDS = 2.0
 
 
 async def case(stage: deployment.Deployment) -> int:
-    """Counts the processes that end by themselves."""
+    """Counts the upstreams that run the request after the third crash."""
+    runs: list[float] = []
+    names: dict[str, int] = {}
+    back: set[asyncio.Task[None]] = set()
+
+    def make(name: str, host: str) -> upstream.Upstream:
+        return upstream.Upstream(
+            name, host, crashes_on='poison',
+            on_run=note, on_crash=crashed,
+        )
+
+    def note(one: upstream.Arrival) -> None:
+        if 'poison' in one.path:
+            runs.append(one.at)
+            stage.record(f'upstream {one.upstream} runs the request, crash {len(runs)}')
+
+    def crashed(one: upstream.Upstream, _: upstream.Arrival) -> None:
+        back.add(asyncio.create_task(come_back(one)))
+
+    async def come_back(one: upstream.Upstream) -> None:
+        await asyncio.sleep(BACK_SECONDS)
+        base = one.name.partition('.')[0]
+        names[base] = names.get(base, 0) + 1
+        stage.write('keyed.servers', one.name, None)
+        zone = stage.zones[int(base[-1]) % 2]
+        await stage.add_upstream(
+            make(f'{base}.{names[base]}', one.host), 'look', zone
+        )
+
     await stage.start_store(
         deployment.configuration(
-            [['r-claims', 'jepu9.example', '/claims/', 'unsafe', '1200ms',
-              '400ms', 1, 'claims', 2, False]],
-            [['claims', '/health', '3s', 6.6, None]],
+            [['r-look', 'jepu9.example', '/look/', 'safe', '1s', '300ms', 2,
+              'look', 2, False]],
+            [['look', '/health', '3s', 6.6, None]],
             [['yefi830', ['xd9dnn2ctnfzs989anu6'], 0, 0, 0]],
         )
     )
-    await stage.add_upstream(
-        upstream.Upstream('i-c1', f'{stage.network}.100'), 'claims',
-        stage.zones[0],
-    )
+    for number in range(6):
+        await stage.add_upstream(
+            make(f'i-l{number}', f'{stage.network}.{100 + number}'), 'look',
+            stage.zones[number % 2],
+        )
     await stage.add_entries(ENTRIES)
-    own_ends = {entry.name: 0 for entry in stage.entries}
-    for number in range(ROUNDS):
-        await one_round(stage, own_ends, number)
-    answer = await stage.send(stage.entries[0], 'POST', '/claims/1', body=b'a')
-    stage.record(f'ends by themselves: {own_ends}')
-    if answer.status != 200:
+    await asyncio.sleep(deployment.CONTACT_SECONDS + 0.5)
+    for _ in range(6):
+        await stage.send(stage.entries[0], 'GET', PATH)
+        await asyncio.sleep(1)
+    if len(runs) < 3:
         return deployment.NOT_RUN
-    often = sum(ends >= ENDS for ends in own_ends.values())
-    return deployment.BROKEN if often >= MACHINES else deployment.HELD
-
-
-async def one_round(
-    stage: deployment.Deployment, own_ends: dict[str, int], number: int
-) -> None:
-    """Restarts two entries by plan in an outage of the store, then SIGHUP."""
-    restarted = stage.entries[:MACHINES]
-    for entry in restarted:
-        entry.signal(signal.SIGTERM)
-        await asyncio.sleep(GAP_SECONDS)
-    for entry in restarted:
-        await entry.wait(8)
-    stage.store.is_down = deployment.TROUBLE
-    stage.record(f'round {number}: store down: {stage.store.is_down}')
-    down_at = time.monotonic()
-    for entry in restarted:
-        entry.start()
-    await asyncio.sleep(3.0)
-    for entry in restarted:
-        entry.signal(signal.SIGHUP)
-    for entry in restarted:
-        if await entry.wait(0.3) is not None:
-            own_ends[entry.name] += 1
-            stage.record(f'{entry.name} ended by itself')
+    third_at = sorted(runs)[2]
+    stage.record(f'{len(runs)} crashes before the restarts')
+    await asyncio.sleep(max(third_at + deployment.CONTACT_SECONDS - time.monotonic(), 0) + 0.2)
+    counted = len(runs)
+    for entry in stage.entries:
+        if deployment.TROUBLE:
+            entry.signal(signal.SIGTERM)
+            await entry.wait(8)
             entry.start()
-    await asyncio.sleep(max(down_at + OUTAGE_SECONDS - time.monotonic(), 0))
-    stage.store.is_down = False
-    stage.record('the store answers')
-    for entry in restarted:
-        if not await entry.until_ready():
-            raise deployment.NotRunError(f'{entry.name} is not ready')
+            if not await entry.until_ready():
+                raise deployment.NotRunError(f'{entry.name} is not ready')
+        # In touch: `contact` without a start or a signal.
+        await asyncio.sleep(deployment.CONTACT_SECONDS + 0.5)
+        for _ in range(4):
+            await stage.send(entry, 'GET', PATH)
+            await asyncio.sleep(1)
+    retries = len(runs) - counted
+    stage.record(
+        f'{retries} retries reached upstreams later than `contact` after '
+        f'the third crash, {MOST_RETRIES} allowed'
+    )
+    return deployment.BROKEN if retries > MOST_RETRIES else deployment.HELD
 
 
 deployment.run(case, str(pathlib.Path(__file__).parent))
