--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A request that crashes upstreams comes again while entries restart by plan."""
+"""Restarted entries while the partition of the list of members is down."""
 
 import asyncio
 import pathlib
@@ -7,85 +7,97 @@
 
 from stand_ins import deployment, upstream
 
-ENTRIES = 4
-PATH = '/look/poison/2f'
-#: The rule's bound on retries that reach upstreams.
-MOST_RETRIES = 3
-BACK_SECONDS = 2.0
+ENTRIES = 6
+RATE, BURST = 20, 20
+#: `quota_window`, `quota_overshoot` and `quota_slack` of the settings.
+WINDOW, OVERSHOOT, SLACK = 5.0, 0.1, 20
+LIMIT = (RATE * WINDOW + BURST) * (1 + OVERSHOOT) + SLACK
+#: The site's limit for an outage of the store.
+OUTAGE_SECONDS = 4.5
+#: A tenant's usual is its rate / 1.6 (`quota_x`); `hot_tenant` is 7.5 times that.
+OFFERED_PER_SECOND = RATE / 1.6 * 7.5
+MEMBERS = 'keyed.members'
 
 
 async def case(stage: deployment.Deployment) -> int:
-    """Counts the upstreams that run the request after the third crash."""
+    """Counts what runs of one tenant's requests in any window."""
     runs: list[float] = []
-    names: dict[str, int] = {}
-    back: set[asyncio.Task[None]] = set()
-
-    def make(name: str, host: str) -> upstream.Upstream:
-        return upstream.Upstream(
-            name, host, crashes_on='poison',
-            on_run=note, on_crash=crashed,
-        )
-
-    def note(one: upstream.Arrival) -> None:
-        if 'poison' in one.path:
-            runs.append(one.at)
-            stage.record(f'upstream {one.upstream} runs the request, crash {len(runs)}')
-
-    def crashed(one: upstream.Upstream, _: upstream.Arrival) -> None:
-        back.add(asyncio.create_task(come_back(one)))
-
-    async def come_back(one: upstream.Upstream) -> None:
-        await asyncio.sleep(BACK_SECONDS)
-        base = one.name.partition('.')[0]
-        names[base] = names.get(base, 0) + 1
-        stage.write('keyed.servers', one.name, None)
-        zone = stage.zones[int(base[-1]) % 2]
-        await stage.add_upstream(
-            make(f'{base}.{names[base]}', one.host), 'look', zone
-        )
-
     await stage.start_store(
         deployment.configuration(
             [['r-look', 'jepu9.example', '/look/', 'safe', '1s', '300ms', 2,
               'look', 2, False]],
             [['look', '/health', '3s', 6.6, None]],
-            [['yefi830', ['xd9dnn2ctnfzs989anu6'], 0, 0, 0]],
+            [['yefi830', ['xd9dnn2ctnfzs989anu6'], 0, RATE, BURST]],
         )
     )
-    for number in range(6):
+    for number in range(4):
+        zone = stage.zones[number % 2]
         await stage.add_upstream(
-            make(f'i-l{number}', f'{stage.network}.{100 + number}'), 'look',
-            stage.zones[number % 2],
+            upstream.Upstream(
+                f'i-l{number}',
+                f'{stage.network}.{100 + number}',
+                slots=8,
+                on_run=lambda one: runs.append(one.at),
+            ),
+            'look',
+            zone,
         )
     await stage.add_entries(ENTRIES)
-    await asyncio.sleep(deployment.CONTACT_SECONDS + 0.5)
-    for _ in range(6):
-        await stage.send(stage.entries[0], 'GET', PATH)
-        await asyncio.sleep(1)
-    if len(runs) < 3:
-        return deployment.NOT_RUN
-    third_at = sorted(runs)[2]
-    stage.record(f'{len(runs)} crashes before the restarts')
-    await asyncio.sleep(max(third_at + deployment.CONTACT_SECONDS - time.monotonic(), 0) + 0.2)
-    counted = len(runs)
+    await asyncio.sleep(deployment.CONTACT_SECONDS + 1)
+    sending = asyncio.create_task(offer(stage))
+    await asyncio.sleep(8)
+    before = len(runs)
+    stage.record(f'{before} ran before the kill, most in a window {most(runs)}')
     for entry in stage.entries:
-        if deployment.TROUBLE:
-            entry.signal(signal.SIGTERM)
-            await entry.wait(8)
-            entry.start()
-            if not await entry.until_ready():
-                raise deployment.NotRunError(f'{entry.name} is not ready')
-        # In touch: `contact` without a start or a signal.
-        await asyncio.sleep(deployment.CONTACT_SECONDS + 0.5)
-        for _ in range(4):
-            await stage.send(entry, 'GET', PATH)
-            await asyncio.sleep(1)
-    retries = len(runs) - counted
-    stage.record(
-        f'{retries} retries reached upstreams later than `contact` after '
-        f'the third crash, {MOST_RETRIES} allowed'
-    )
-    return deployment.BROKEN if retries > MOST_RETRIES else deployment.HELD
+        entry.signal(signal.SIGKILL)
+    if deployment.TROUBLE:
+        stage.store.topics_down = {MEMBERS}
+        stage.record(
+            f'the store answers 503 for {MEMBERS}, one of '
+            f'{len(stage.store.topics)} partitions in use'
+        )
+    down_at = time.monotonic()
+    for entry in stage.entries:
+        await entry.wait(2)
+        entry.start()
+    await asyncio.sleep(max(down_at + OUTAGE_SECONDS - time.monotonic(), 0))
+    stage.store.topics_down = set()
+    stage.record('the store serves all partitions')
+    await asyncio.sleep(7)
+    sending.cancel()
+    stage.record(f'{len(runs)} ran, most in a window {most(runs)}, limit {LIMIT}')
+    if not before or len(runs) == before:
+        return deployment.NOT_RUN
+    return deployment.BROKEN if most(runs) > LIMIT else deployment.HELD
+
+
+async def offer(stage: deployment.Deployment) -> None:
+    """Sends the tenant's requests evenly to all entries."""
+    tasks: set[asyncio.Task[deployment.Answer]] = set()
+    number = 0
+    began = time.monotonic()
+    while True:
+        entry = stage.entries[number % len(stage.entries)]
+        task = asyncio.create_task(
+            stage.send(entry, 'GET', f'/look/{number}', seconds=2)
+        )
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        number += 1
+        await asyncio.sleep(
+            max(began + number / OFFERED_PER_SECOND - time.monotonic(), 0)
+        )
+
+
+def most(runs: list[float]) -> int:
+    """Returns the most runs in any window."""
+    ordered = sorted(runs)
+    first = best = 0
+    for last, at in enumerate(ordered):
+        while at - ordered[first] >= WINDOW:
+            first += 1
+        best = max(best, last - first + 1)
+    return best
 
 
 deployment.run(case, str(pathlib.Path(__file__).parent))
