--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,7 +5,8 @@
 import signal
 import time
 
-from stand_ins import deployment, upstream
+import stand_in_deployment as deployment
+import stand_in_upstream as upstream
 
 ENTRIES = 6
 RATE, BURST = 20, 20
--- a/review/stand_ins/deployment.py
+++ b/review/stand_in_deployment.py
@@ -13,10 +13,10 @@
 import time
 import typing
 
-from stand_ins import store as stores
-from stand_ins import upstream as upstreams
+import stand_in_store as stores
+import stand_in_upstream as upstreams
 
-ROOT: typing.Final = pathlib.Path(__file__).resolve().parents[2]
+ROOT: typing.Final = pathlib.Path(__file__).resolve().parents[1]
 #: The command of deploy/system.toml.
 RUN: typing.Final = ('python3', '-m', 'bilberryglade.platform')
 #: `contact` of the rules: after it a machine that ran all the while is in touch.
--- a/review/stand_ins/uploads.py
+++ b/review/stand_in_uploads.py
@@ -1,6 +1,6 @@
 """Consumers that upload at once, in a process of their own.
 
-Usage: python3 -m stand_ins.uploads ADDRESS COUNT BYTES PREFIX
+Usage: python3 -m stand_in_uploads ADDRESS COUNT BYTES PREFIX
 """
 
 import asyncio
