Lines tell a late loop, a left caller and a full link apart

The record of GONE fits a late loop, a close that was not looked at and a full link alike, and no line held what differs. Each request's line now has the moments at which its first byte went to a target (sent_ms) and its caller was seen to have left (left_ms), and how late the loop ran (loop_late_ms); a late loop has a line of its own and a histogram, and each 5 s a line tells the bytes sent to other instances by kind. Nothing that is decided has changed.

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -28,7 +28,7 @@
 )
 from bilberryglade._limits import desks, pools
 from bilberryglade._membership import candidacy, enrolment, fleet
-from bilberryglade._observability import exchange_counts
+from bilberryglade._observability import exchange_counts, peer_traffic
 from bilberryglade._ownership import key_loads, lease_manager, table_manager
 from bilberryglade._peers import network
 from bilberryglade._routing import catalogue
@@ -257,6 +257,7 @@
         self.router.count_key = self.reporter.count
         self.exchanges = exchange_counts.Exchanges(self.reader, self.steward)
         self.exchanges.watch_peers(self.peers)
+        self.traffic = peer_traffic.PeerTraffic(self.peers)
         self.exchanges.watch_orders(self.steward.lease_manager.log)
         self.exchanges.watch_headers(self.exchange.odd_headers)
         self.front = front.Front(
@@ -390,7 +391,11 @@
 
     async def _keep_house(self) -> None:
         while True:
+            due_at = clock.now() + HOUSEKEEPING_SECONDS
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
+            now = clock.now()
+            self.parts.exchanges.pace.take(now - due_at, now)
+            self.parts.traffic.tell(now)
             self.parts.reader.expire()
             self.parts.sends.drop_unlisted()
             self.parts.forget_gone()
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -9,6 +9,7 @@
 
 from bilberryglade._delivery import router
 from bilberryglade._knowledge import reading, topics
+from bilberryglade._observability import pace
 from bilberryglade._ownership import order_log, table_manager
 from bilberryglade._peers import network
 from bilberryglade._routing import admission
@@ -146,6 +147,7 @@
             registry=self.registry,
         )
         self.registry.register(LeftOutCounts(reader))
+        self.pace = pace.Pace(self.registry)
 
     def take(
         self,
@@ -178,6 +180,9 @@
             reason=reason,
             status=status,
             ms=int(seconds * MILLISECONDS),
+            sent_ms=_since(request.arrived_at, request.progress.sent_at),
+            left_ms=_since(request.arrived_at, request.progress.left_at),
+            loop_late_ms=int(self.pace.late_seconds * MILLISECONDS),
             waited_ms=int(delivered.waited_seconds * MILLISECONDS),
             retry_after_ms=delivered.retry_after_ms,
             configuration=known.catalogue and known.catalogue.version,
@@ -202,3 +207,8 @@
     def scrape(self) -> bytes:
         """Returns all counters as text."""
         return prometheus_client.generate_latest(self.registry)
+
+
+def _since(began: float, moment: float | None) -> int | None:
+    """Returns the milliseconds from `began` to a moment, if there was one."""
+    return None if moment is None else int((moment - began) * MILLISECONDS)
--- a/src/bilberryglade/_routing/admission.py
+++ b/src/bilberryglade/_routing/admission.py
@@ -3,7 +3,7 @@
 import typing
 
 from bilberryglade._routing import catalogue
-from bilberryglade._values import outcomes
+from bilberryglade._values import outcomes, request_progress
 
 
 class Incoming(typing.NamedTuple):
@@ -30,6 +30,7 @@
     patience: float | None
     #: Seconds at which it arrived.
     arrived_at: float
+    progress: request_progress.Progress
 
 
 class Admitted(typing.NamedTuple):
--- a/src/bilberryglade/_routing/tests/samples.py
+++ b/src/bilberryglade/_routing/tests/samples.py
@@ -3,6 +3,7 @@
 import typing
 
 from bilberryglade._routing import admission
+from bilberryglade._values import request_progress
 
 
 def incoming(**changes: typing.Any) -> admission.Incoming:
@@ -20,5 +21,6 @@
         routing_key=5,
         patience=1,
         arrived_at=0,
+        progress=request_progress.Progress(),
     )
     return request._replace(**changes)
--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -13,7 +13,7 @@
 
 from bilberryglade._http import resolver
 from bilberryglade._targets import lines, marks
-from bilberryglade._values import clock, outcomes
+from bilberryglade._values import clock, outcomes, request_progress
 
 #: Idle time after which a kept connection is closed instead of used.
 IDLE_MS: typing.Final = 2000
@@ -47,13 +47,20 @@
 class Exchange:
     """What one attempt has put on the wire, and what answers it."""
 
-    def __init__(self, marked: marks.Marks, until: float) -> None:
+    def __init__(
+        self,
+        marked: marks.Marks,
+        until: float,
+        request: request_progress.Progress | None = None,
+    ) -> None:
         """Starts with nothing sent; answers to it bear `marked`.
 
         After `until`, in seconds of `clock.now`, its first byte is not sent.
+        `request` is the caller's request that it carries, if any.
         """
         self.marked = marked
         self.until = until
+        self.request = request
         #: The stream that carries the request; None before the first byte.
         self.writer: object = None
 
@@ -62,6 +69,12 @@
         """Whether any byte of the request was handed to a socket."""
         return self.writer is not None
 
+    def note_sent(self, writer: object) -> None:
+        """Notes the stream that gets the next bytes."""
+        if not self.is_sent and self.request is not None:
+            self.request.note_sent()
+        self.writer = writer
+
 
 current: typing.Final[contextvars.ContextVar[Exchange | None]] = (
     contextvars.ContextVar('current', default=None)
@@ -127,7 +140,7 @@
                 raise SentTwiceError
             if not exchange.is_sent and clock.now() > exchange.until:
                 raise LateError
-            exchange.writer = self.writer
+            exchange.note_sent(self.writer)
         super().write(data)
 
     async def readuntil(self, separator: bytes = b'\n') -> bytes:
--- a/src/bilberryglade/_targets/sender.py
+++ b/src/bilberryglade/_targets/sender.py
@@ -10,7 +10,7 @@
 from aiosonic import exceptions, timeout
 
 from bilberryglade._targets import answers, connections, marks
-from bilberryglade._values import clock, outcomes
+from bilberryglade._values import clock, outcomes, request_progress
 
 #: Seconds for a new connection; targets of the fleet are milliseconds away.
 CONNECT_SECONDS: typing.Final = 0.3
@@ -40,6 +40,8 @@
     seconds: float
     #: What tells its answer from those to other calls.
     marked: marks.Marks = marks.Marks()
+    #: Of the caller's request that it carries; None if it carries none.
+    progress: request_progress.Progress | None = None
 
 
 class Sender:
@@ -96,7 +98,9 @@
     ) -> outcomes.Outcome:
         http = self.fresh if on_fresh else self.kept
         deadline = time.monotonic() + call.seconds
-        exchange = connections.Exchange(call.marked, clock.now() + call.seconds)
+        exchange = connections.Exchange(
+            call.marked, clock.now() + call.seconds, call.progress
+        )
         connections.current.set(exchange)
         try:
             response = await http.request(
--- a/src/bilberryglade/platform/exchange.py
+++ b/src/bilberryglade/platform/exchange.py
@@ -54,6 +54,7 @@
             body=request.body,
             seconds=seconds,
             marked=marked(request.request_id),
+            progress=request.progress,
         )
         outcome = await self.http.send(call, on_fresh=False)
         if not isinstance(outcome, outcomes.Answered):
--- a/src/bilberryglade/platform/front.py
+++ b/src/bilberryglade/platform/front.py
@@ -14,7 +14,7 @@
 from bilberryglade._delivery import router
 from bilberryglade._routing import admission, catalogue
 from bilberryglade._targets import answers
-from bilberryglade._values import clock, leases, outcomes
+from bilberryglade._values import clock, leases, outcomes, request_progress
 from bilberryglade.platform import headers
 from bilberryglade_schema import provider
 
@@ -143,6 +143,8 @@
             (work, leaving, ending), return_when=asyncio.FIRST_COMPLETED
         )
         sender = self.router.sender
+        if leaving.done():
+            incoming.progress.note_left()
         if leaving.done() and not work.done():
             if not sender.is_unrepeatable_in_flight(incoming.request_id):
                 work.cancel()
@@ -223,6 +225,7 @@
         routing_key=routing_key,
         patience=patience,
         arrived_at=arrived_at,
+        progress=request_progress.Progress(),
     )
 
 
