A request is not sent on for a caller whose leaving lies unread behind it

Callers that gave up saw their requests run long after: a target got one up to as late as the loop was (GONE). Where an instance was busy, a request and the close of its connection were in the socket together. The loop reads the close a turn after the request, and with an own dispatcher and a kept connection the request is written within that turn; its time was counted from the reading.

Now the caller's connection is looked at when the first byte is about to go to a target (POLLRDHUP, which also shows a close behind bytes not read yet). Such a request is not sent, not tried again, and not held against its target.

--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -493,6 +493,8 @@
         return False
     if job.deadline - clock.now() < MIN_SEND_SECONDS:
         return False
+    if job.request.progress.has_left():
+        return False
     if isinstance(delivery.outcome, outcomes.NotRun):
         return True
     if not route.repeatable:
--- a/src/bilberryglade/_delivery/send_results.py
+++ b/src/bilberryglade/_delivery/send_results.py
@@ -61,6 +61,8 @@
     if isinstance(outcome, outcomes.Answered):
         is_good = outcome.status < MIN_ERROR_STATUS
         return SendResult.good if is_good else SendResult.bad
+    if outcome.reason is outcomes.Reason.caller_gone:
+        return SendResult.abandoned
     if isinstance(outcome, outcomes.NotRun):
         return SendResult.unreachable
     if outcome.reason is outcomes.Reason.answer_lost:
--- a/src/bilberryglade/_instance/serving.py
+++ b/src/bilberryglade/_instance/serving.py
@@ -9,11 +9,15 @@
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 
+from bilberryglade._http import sockets
+from bilberryglade._values import request_progress
 from bilberryglade_schema import settings
 
 MILLISECONDS: typing.Final = 1000
 DEFAULT_NOTICE_MS: typing.Final = 500
 ARRIVAL_GRACE_SECONDS: typing.Final = 0.2
+#: Extension of the scope: a function that tells whether the caller has left.
+HAS_LEFT: typing.Final = 'bilberryglade.has_left'
 CLOSE_HEADER: typing.Final = (b'connection', b'close')
 DEFAULT_HEADER_BYTES: typing.Final = 65_536
 DEFAULT_CONNECTIONS: typing.Final = 4096
@@ -92,6 +96,8 @@
         if self.arrival is None:
             self._wait_for_arrival()
         super().on_message_begin()
+        extensions: typing.Any = {HAS_LEFT: self.has_left}
+        self.scope['extensions'] = extensions
 
     def on_headers_complete(self) -> None:
         """Notes that the headers are over."""
@@ -100,6 +106,12 @@
         self.head_bytes = 0
         super().on_headers_complete()
 
+    def has_left(self) -> bool:
+        """Tells whether the caller has closed, whether that was read or not."""
+        if self.transport.is_closing():
+            return True
+        return sockets.has_ended(self.transport.get_extra_info('socket'))
+
     def on_message_complete(self) -> None:
         """Notes that the whole request has arrived."""
         self._end_wait()
@@ -144,6 +156,18 @@
         yield
 
 
+def has_left_of(scope: Scope) -> abc.Callable[[], bool]:
+    """Returns the function of a request's scope that tells of its caller.
+
+    Of another server's scope nobody is known to have left.
+    """
+    extensions = scope.get('extensions') or {}
+    has_left: abc.Callable[[], bool] = extensions.get(
+        HAS_LEFT, request_progress.never
+    )
+    return has_left
+
+
 def closing(
     application: Application,
     is_stopping: abc.Callable[[], bool],
--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -11,7 +11,7 @@
 import aiosonic
 from aiosonic import connection, connectors, exceptions, pools
 
-from bilberryglade._http import resolver
+from bilberryglade._http import resolver, sockets
 from bilberryglade._targets import lines, marks
 from bilberryglade._values import clock, outcomes, request_progress
 
@@ -44,6 +44,10 @@
     """The time of a call was over before its first byte went out."""
 
 
+class UnwantedError(exceptions.AiosonicError):  # type: ignore[misc]
+    """The caller had left before the first byte of its request went out."""
+
+
 class Exchange:
     """What one attempt has put on the wire, and what answers it."""
 
@@ -69,9 +73,26 @@
         """Whether any byte of the request was handed to a socket."""
         return self.writer is not None
 
-    def note_sent(self, writer: object) -> None:
-        """Notes the stream that gets the next bytes."""
-        if not self.is_sent and self.request is not None:
+    @property
+    def is_wanted(self) -> bool:
+        """Whether nobody has left who waits for the answer."""
+        return self.request is None or not self.request.has_left()
+
+    def begin(self, writer: object) -> None:
+        """Takes the stream that gets the next bytes.
+
+        Raises an error if another one got the first, or if the first would
+        come too late or for nobody.
+        """
+        if self.is_sent:
+            if self.writer is not writer:
+                raise SentTwiceError
+            return
+        if clock.now() > self.until:
+            raise LateError
+        if not self.is_wanted:
+            raise UnwantedError
+        if self.request is not None:
             self.request.note_sent()
         self.writer = writer
 
@@ -136,11 +157,7 @@
         """Writes for the current exchange, over one connection only."""
         exchange = current.get()
         if exchange is not None:
-            if exchange.is_sent and exchange.writer is not self.writer:
-                raise SentTwiceError
-            if not exchange.is_sent and clock.now() > exchange.until:
-                raise LateError
-            exchange.note_sent(self.writer)
+            exchange.begin(self.writer)
         super().write(data)
 
     async def readuntil(self, separator: bytes = b'\n') -> bytes:
@@ -192,10 +209,8 @@
 
     def _has_news(self) -> bool:
         """Tells whether bytes or an end have come that the loop hasn't read."""
-        poll = select.poll()
         raw = self.writer.get_extra_info('socket')
-        poll.register(raw.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        return bool(sockets.events_on(raw, select.POLLIN))
 
     def _check_marks(self) -> None:
         """Closes the connection if the answer belongs to another call.
--- a/src/bilberryglade/_targets/sender.py
+++ b/src/bilberryglade/_targets/sender.py
@@ -117,7 +117,7 @@
             _note_foreign(call, failure)
             if exchange.is_sent:
                 return outcomes.Unknown(_lost_reason(failure))
-            return outcomes.NotRun(outcomes.Reason.target_unreachable)
+            return outcomes.NotRun(_unsent_reason(failure))
         finally:
             connections.current.set(None)
 
@@ -152,6 +152,12 @@
     return outcomes.Reason.answer_lost
 
 
+def _unsent_reason(failure: BaseException) -> outcomes.Reason:
+    if isinstance(failure, connections.UnwantedError):
+        return outcomes.Reason.caller_gone
+    return outcomes.Reason.target_unreachable
+
+
 def _note_foreign(call: Call, failure: BaseException) -> None:
     if isinstance(failure, connections.ForeignAnswerError):
         loguru.logger.warning(
--- a/src/bilberryglade/platform/front.py
+++ b/src/bilberryglade/platform/front.py
@@ -12,6 +12,7 @@
 
 from bilberryglade._codec import codec
 from bilberryglade._delivery import router
+from bilberryglade._instance import serving
 from bilberryglade._routing import admission, catalogue
 from bilberryglade._targets import answers
 from bilberryglade._values import clock, leases, outcomes, request_progress
@@ -99,7 +100,9 @@
         body = await _body(request, self.bounds().body_bytes)
         if body is None:
             return responses.Response(status_code=TOO_LARGE_STATUS)
-        incoming = incoming_of(request, body, arrived_at)
+        incoming = incoming_of(
+            request, body, arrived_at, serving.has_left_of(request.scope)
+        )
         if incoming is None:
             return responses.Response(status_code=MALFORMED_STATUS)
         delivered = await self._run(request, incoming)
@@ -194,6 +197,7 @@
     request: requests.Request,
     body: bytes,
     arrived_at: float,
+    has_left: abc.Callable[[], bool] = request_progress.never,
 ) -> admission.Incoming | None:
     """Returns a caller's request, or None if it is malformed."""
     raw = tuple(
@@ -225,7 +229,7 @@
         routing_key=routing_key,
         patience=patience,
         arrived_at=arrived_at,
-        progress=request_progress.Progress(),
+        progress=request_progress.Progress(has_left),
     )
 
 
