A request that may run once counts as at its target from its first byte on

A caller that left while the connection to the target was being opened ended nothing, so the request went out for nobody (GONE): it counted as being at the target from before the connect. It may have run only once its first byte has gone out; until then it is given up with its caller.

test_unsent_request_does_not_count_as_at_its_target.

--- a/src/bilberryglade/_delivery/request_sender.py
+++ b/src/bilberryglade/_delivery/request_sender.py
@@ -80,12 +80,16 @@
         ] = lambda *_: None
         #: Called with each target that said in an answer that it leaves.
         self.on_leaving: abc.Callable[[directory.Target], None] = lambda _: None
-        #: Ids of requests that are at a target and may run only once.
+        #: Ids of requests that are being sent and may run only once.
         self.in_flight_unrepeatable: set[str] = set()
 
-    def is_unrepeatable_in_flight(self, request_id: str) -> bool:
-        """Returns whether a request that may run only once is at a target."""
-        return request_id in self.in_flight_unrepeatable
+    def is_unrepeatable_in_flight(self, request: admission.Incoming) -> bool:
+        """Returns whether a request that may run only once is at a target.
+
+        Until its first byte has gone out, it has certainly not run.
+        """
+        is_sending = request.request_id in self.in_flight_unrepeatable
+        return is_sending and request.progress.sent_at is not None
 
     def view(self, target: directory.Target) -> choosing.View:
         """Returns a target with its standing at this instance."""
@@ -111,6 +115,7 @@
         """
         started_at = clock.now()
         self._record_start(target, started_at)
+        request.progress.begin_send()
         if not admitted.route.repeatable:
             self.in_flight_unrepeatable.add(request.request_id)
         finished = send_results.FinishedSend(send_results.SendResult.abandoned)
--- a/src/bilberryglade/_delivery/tests/test_request_sender.py
+++ b/src/bilberryglade/_delivery/tests/test_request_sender.py
@@ -1,18 +1,26 @@
-"""Tests that a crashed target counts as cold before its new entry is read."""
+"""Sends to targets: reported crashes, and when a request counts as sent."""
 
+import asyncio
 import unittest
 from unittest import mock
 
 from bilberryglade._delivery import request_sender
 from bilberryglade._knowledge import knowledge
 from bilberryglade._membership import fleet
+from bilberryglade._routing.tests import samples as requests
 from bilberryglade._targets import choosing, directory
 from bilberryglade._targets.tests import samples
 from bilberryglade._values import clock
 
 
-class CrashReportTests(unittest.TestCase):
-    """A crash that another instance reports."""
+async def never_answered(*_: object) -> request_sender.ExchangeResult:
+    """Waits for its end."""
+    await asyncio.sleep(3600)
+    raise AssertionError
+
+
+class SenderCase(unittest.IsolatedAsyncioTestCase):
+    """An instance that knows one target."""
 
     def setUp(self) -> None:
         """Lists one warm target to which nothing has been sent."""
@@ -29,6 +37,10 @@
             broker=mock.Mock(),
         )
 
+
+class CrashReportTests(SenderCase):
+    """A crash that another instance reports."""
+
     def is_cold(self) -> bool:
         """Returns whether the target counts as cold at this instance."""
         view = self.sender.view(self.target)
@@ -45,3 +57,24 @@
         earlier = self.target._replace(born=self.target.born - 1)
         self.sender.mark_doubtful(str(directory.life_of(earlier)))
         self.assertFalse(self.is_cold())
+
+
+class ConnectingTests(SenderCase):
+    """A request that may run once, while its connection is being opened."""
+
+    async def test_unsent_request_does_not_count_as_at_its_target(self) -> None:
+        """Only its first byte makes it one that may have run."""
+        self.sender.exchange = mock.AsyncMock(side_effect=never_answered)
+        request = requests.incoming()
+        request.progress.note_sent()
+        admitted = mock.Mock(route=mock.Mock(repeatable=False))
+        sending = asyncio.create_task(
+            self.sender.send(request, admitted, self.target, seconds=1)
+        )
+        await asyncio.sleep(0)
+        self.assertFalse(self.sender.is_unrepeatable_in_flight(request))
+        request.progress.note_sent()
+        self.assertTrue(self.sender.is_unrepeatable_in_flight(request))
+        sending.cancel()
+        await asyncio.wait((sending,))
+        self.assertFalse(self.sender.is_unrepeatable_in_flight(request))
--- a/src/bilberryglade/_values/request_progress.py
+++ b/src/bilberryglade/_values/request_progress.py
@@ -30,6 +30,10 @@
         if self.left_at is None:
             self.left_at = clock.now()
 
+    def begin_send(self) -> None:
+        """Notes that a target was chosen; nothing has gone to it yet."""
+        self.sent_at = None
+
     def note_sent(self) -> None:
         """Notes that the first byte goes to a target."""
         self.sent_at = clock.now()
--- a/src/bilberryglade/platform/front.py
+++ b/src/bilberryglade/platform/front.py
@@ -145,11 +145,10 @@
         await asyncio.wait(
             (work, leaving, ending), return_when=asyncio.FIRST_COMPLETED
         )
-        sender = self.router.sender
         if leaving.done():
             incoming.progress.note_left()
         if leaving.done() and not work.done():
-            if not sender.is_unrepeatable_in_flight(incoming.request_id):
+            if not self.router.sender.is_unrepeatable_in_flight(incoming):
                 work.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
                     await work
