Configurations go only to instances that lack them

Cause: the coordinator sent each configuration to all others, who had read it themselves; and each instance that was ahead of the coordinator sent it all it knew at each sign of life. The later the coordinator, the more it was sent. Without a coordinator each instance sent all to all.

Now instances tell one another which records they know (offset and sum) and ask for what their own read has not brought within 0.25 s: one of their own failure domain and the one that told by turns, in growing intervals. The answer holds what is newer than the asker knows.

test_configuration_traffic plays 24 instances and a configuration of 100 KB: before, 2.33 MB with the store in order, with a late coordinator and with a third refused by it, and 167 MB without a coordinator; now below the bounds of 0.1, 0.3, 2.4 and 0.1 MB. Three cases of test_operators that expected records in place of marks go through mark, ask and answer to what is in force instead.

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -196,10 +196,9 @@
         if not self.candidacy.holds:
             return
         self.lead()
-        for topic in (topics.OPERATOR, topics.TARGETS):
-            whole = self.reader.whole(topic)
-            if whole is not None:
-                self.fleet.send(name, whole)
+        whole = self.reader.whole(topics.TARGETS)
+        if whole is not None:
+            self.fleet.send(name, whole)
         self.departures.tell(name)
         self.fleet.send(name, self.steward.assignment_message())
 
@@ -397,6 +396,7 @@
             self.parts.exchanges.pace.take(now - due_at, now)
             self.parts.traffic.tell(now)
             self.parts.reader.expire()
+            self.parts.operators.catch_up()
             self.parts.sends.drop_unlisted()
             self.parts.forget_gone()
             self.parts.departures.repeat()
--- a/src/bilberryglade/_knowledge/operators.py
+++ b/src/bilberryglade/_knowledge/operators.py
@@ -3,7 +3,8 @@
 A long poll tells of a change at once, but one that is held up tells nothing. So
 what is known counts as confirmed only by an answer of the store or by a
 coordinator that knows the same; without either the poll is given up, and
-everything is read anew over another connection.
+everything is read anew over another connection. Instances tell one another only
+which records they know; the records themselves go to those that lack them.
 """
 
 import asyncio
@@ -12,7 +13,7 @@
 
 import result
 
-from bilberryglade._knowledge import reading, topics
+from bilberryglade._knowledge import catching_up, reading, topics
 from bilberryglade._values import clock, stored
 from bilberryglade_schema import fleet as messages
 
@@ -32,15 +33,6 @@
 TOPIC: typing.Final = topics.OPERATOR
 
 
-class Mark(typing.NamedTuple):
-    """Tells what one instance knows of operators from what another does."""
-
-    #: Offset of the newest record.
-    newest: int
-    #: Sum of the offsets of all keys that were not dropped.
-    total: int
-
-
 class Operators:
     """Keeps the operators' records of this instance up to date."""
 
@@ -49,6 +41,7 @@
         self.reader = reader
         #: Seconds at which what is known was the newest for certain.
         self.confirmed_at = -math.inf
+        self.catching_up = catching_up.CatchingUp()
 
     async def follow(self) -> None:
         """Follows the records until cancelled."""
@@ -65,33 +58,51 @@
             self.reader.learn(TOPIC, batch.ok_value, read_at)
             self.confirmed_at = max(self.confirmed_at, read_at)
             if batch.ok_value.records and self.reader.relays():
-                self.reader.relay(TOPIC, batch.ok_value, read_at)
+                self.reader.members.send_all(self._mark_message())
 
     def hear_lead(self, lead: messages.Lead) -> None:
-        """Evens out what the coordinator and this instance know.
+        """Compares what the coordinator and this instance know.
 
-        Whose reads of the store are refused or held up hears of a change from
-        those that were answered.
+        A coordinator that lacks records is told so.
         """
+        self.hear_mark(lead)
+        told = _told(lead)
+        if self.mark() != told and self.mark().newest >= told.newest:
+            self.reader.members.send(lead['sender'], self._mark_message())
+
+    def hear_mark(self, message: messages.Lead | messages.OperatorMark) -> None:
+        """Compares what the sender and this instance know."""
         own = self.mark()
-        told = Mark(lead['operator_offset'], lead['operator_total'])
+        told = _told(message)
         if own == told:
-            age = lead['operator_age_ms'] / 1000
+            age = message['operator_age_ms'] / 1000
             self.confirmed_at = max(self.confirmed_at, clock.now() - age)
+        elif own.newest <= told.newest:
+            self.catching_up.hear(message['sender'], told, clock.now())
+
+    def catch_up(self) -> None:
+        """Asks another instance for records that this one lacks, if due."""
+        members = self.reader.members
+        asked = self.catching_up.next_to_ask(
+            self.mark(), members.near(), clock.now()
+        )
+        if not asked:
             return
-        if own.newest <= told.newest:
-            ask: messages.RelayAsk = {
-                'kind': 'relay_ask',
-                'sender': self.reader.members.own.name,
-            }
-            self.reader.members.send(lead['sender'], ask)
-        if own.newest >= told.newest:
-            self.reader.tell_all(TOPIC, lead['sender'])
-
-    def mark(self) -> Mark:
+        ask: messages.RelayAsk = {
+            'kind': 'relay_ask',
+            'sender': members.own.name,
+            'newest': self.mark().newest,
+        }
+        members.send(asked, ask)
+
+    def answer(self, ask: messages.RelayAsk) -> None:
+        """Sends an instance the records that it lacks."""
+        self.reader.tell_newer(TOPIC, ask['sender'], ask.get('newest', -1))
+
+    def mark(self) -> catching_up.Mark:
         """Returns what tells of a difference to another instance."""
         records = self.reader.newest.get(TOPIC, {}).values()
-        return Mark(
+        return catching_up.Mark(
             max((record.offset for record in records), default=-1),
             sum(
                 record.offset
@@ -106,6 +117,16 @@
             return UNKNOWN_AGE_MS
         return int((clock.now() - self.confirmed_at) * 1000) + 1
 
+    def _mark_message(self) -> messages.OperatorMark:
+        mark = self.mark()
+        return {
+            'kind': 'operator_mark',
+            'sender': self.reader.members.own.name,
+            'operator_offset': mark.newest,
+            'operator_total': mark.total,
+            'operator_age_ms': self.age_ms(),
+        }
+
     async def _read(self) -> result.Result[stored.Batch, stored.Failure]:
         """Waits for news; reads everything if nothing was confirmed lately."""
         end = self.reader.known.ends.get(TOPIC)
@@ -129,3 +150,9 @@
 
     def _is_confirmed(self) -> bool:
         return clock.now() - self.confirmed_at <= CONFIRMED_SECONDS
+
+
+def _told(message: messages.Lead | messages.OperatorMark) -> catching_up.Mark:
+    return catching_up.Mark(
+        message['operator_offset'], message['operator_total']
+    )
--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -2,7 +2,6 @@
 
 import typing
 
-from bilberryglade._knowledge import topics
 from bilberryglade._membership import fleet as members
 from bilberryglade._ownership import owners
 from bilberryglade._peers import handlers
@@ -86,7 +85,16 @@
 @handlers.handler_for('relay_ask', fleet.RelayAsk)
 def handle_relay_ask(parts: 'entry.Parts', message: fleet.RelayAsk) -> None:
     """Sends the operators' records to an instance that has missed some."""
-    parts.reader.tell_all(topics.OPERATOR, message['sender'])
+    parts.operators.answer(message)
+
+
+@handlers.handler_for('operator_mark', fleet.OperatorMark)
+def handle_operator_mark(
+    parts: 'entry.Parts',
+    message: fleet.OperatorMark,
+) -> None:
+    """Takes in which of the operators' records an instance knows."""
+    parts.operators.hear_mark(message)
 
 
 @handlers.handler_for('assignment', fleet.Assignment, owners.validate)
--- a/src/bilberryglade/_membership/fleet.py
+++ b/src/bilberryglade/_membership/fleet.py
@@ -48,6 +48,15 @@
             if member.name != self.own.name
         ]
 
+    def near(self) -> list[str]:
+        """Returns the names of others in the own failure domain, in order."""
+        return [
+            member.name
+            for member in self.others()
+            if member.failure_domain == self.own.failure_domain
+            and member.name not in self.leaving
+        ]
+
     def take(self, member: Member) -> None:
         """Takes in a member that the store or the member itself named."""
         if member.name == self.own.name:
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -161,6 +161,19 @@
 
     kind: Literal['relay_ask']
     sender: str
+    newest: NotRequired[Offset]
+
+
+class OperatorMark(TypedDict):
+    """
+    What an instance knows of operators' records, without these.
+    """
+
+    kind: Literal['operator_mark']
+    sender: str
+    operator_offset: Offset
+    operator_total: Whole
+    operator_age_ms: Whole
 
 
 class OwnerLife(TypedDict):
