An instance with a small link leaves the coordinator's lease to one with more

Its link was full of what a coordinator sends in any case (1.7 MB of tables and tokens in 5 s, 2.2 MB at the start), and links have 5 Mbit/s and more.

Cause: only processor time decided who goes first; the time left to stronger ones counted from the coordinator's silence, so that it had mostly passed when the lease was free; and in a fleet that starts nobody is known, so that the first to look coordinated, however weak.

Strength is now the smaller of processor and link against what is ample, the time counts from the first look that finds the lease free, and a weak instance waits also where it knows nobody.

Three new tests of test_candidacy; the ones there are kept, with the wait counted from the free lease.

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -94,6 +94,7 @@
             place.peer_address,
             place.failure_domain,
             processor=place.processor,
+            link_mbps=place.link_mbps,
         )
         self.fleet = fleet.Fleet(own, self.peers)
         self.candidacy = candidacy.Candidacy(self.fleet, client)
--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -5,6 +5,7 @@
 from bilberryglade._membership import fleet as members
 from bilberryglade._ownership import owners
 from bilberryglade._peers import handlers
+from bilberryglade._values import site
 from bilberryglade_schema import fleet
 
 if typing.TYPE_CHECKING:
@@ -27,6 +28,7 @@
             failure_domain=message['failure_domain'],
             offset=parts.fleet.offset_of(name),
             processor=message.get('processor', 1),
+            link_mbps=message.get('link_mbps', site.USUAL_LINK_MBPS),
         ),
     )
     parts.greet(name)
--- a/src/bilberryglade/_membership/candidacy.py
+++ b/src/bilberryglade/_membership/candidacy.py
@@ -21,11 +21,15 @@
 #: Seconds between two looks; drawn anew each time so that few come together.
 LOOK_SECONDS: typing.Final = (0.25, 0.55)
 IDLE_SECONDS: typing.Final = 0.2
-#: Seconds for which an instance leaves a free lease to others that have this
-#: many times its processor time, and how lately these must have been heard.
+#: Seconds for which an instance leaves a free lease to others that are this many
+#: times as strong, and how lately these must have been heard.
 YIELD_SECONDS: typing.Final = 0.8
 STRONGER_RATIO: typing.Final = 1.5
 HEARD_SECONDS: typing.Final = 3.0
+#: Cores and Mbit/s that are ample for the coordinator of a large fleet: its
+#: orders, tables and tokens took 5 Mbit/s in a fleet of 69 under load.
+AMPLE_PROCESSOR: typing.Final = 0.8
+AMPLE_LINK_MBPS: typing.Final = 50.0
 #: Seconds after a call that failed.
 RETRY_SECONDS: typing.Final = 0.25
 LEAST_PAUSE_SECONDS: typing.Final = 0.05
@@ -47,8 +51,9 @@
         #: Name of the coordinator, '' while none is known.
         self.coordinator = ''
         self.term = -1
-        #: Seconds from which this instance has looked at the lease in vain.
-        self.looking_since: float = 0
+        #: Seconds at which this instance first found the lease free; None
+        #: while it is held.
+        self.free_since: float | None = None
         #: Seconds at which the coordinator's last sign of life arrived. Other
         #: messages of it do not count: it may have lost its lease.
         self.led_at = float('-inf')
@@ -112,7 +117,7 @@
             if self.state.role is leadership.Role.coordinator:
                 await self._renew()
             elif self.is_led:
-                self.looking_since = clock.now()
+                self.free_since = None
                 await asyncio.sleep(IDLE_SECONDS)
             else:
                 await self._look()
@@ -148,7 +153,9 @@
         may_claim = is_read and leadership.may_claim(
             self.state, self.members.own.address, clock.now()
         )
-        if may_claim and not self._yields():
+        if not may_claim:
+            self.free_since = None
+        elif not self._yields(clock.now()):
             seen = self.state.seen
             sent_at = clock.now()
             end = 0 if seen is None else seen.offset + 1
@@ -158,17 +165,25 @@
                 return
         await asyncio.sleep(random.uniform(*LOOK_SECONDS))
 
-    def _yields(self) -> bool:
-        """Tells whether to leave the lease to a stronger instance for now.
+    def _yields(self, now: float) -> bool:
+        """Tells whether to leave the free lease to a stronger instance.
 
         Orders, plans and words to all come from the coordinator alone; a weak
         one falls behind with them in a large fleet, and loses the lease again.
+        Of a fleet that starts nobody is known yet; the weaker an instance, the
+        longer it waits then.
         """
-        if clock.now() - self.looking_since > YIELD_SECONDS:
+        if self.free_since is None:
+            self.free_since = now
+        own_strength = strength(self.members.own)
+        waited = now - self.free_since
+        if waited < YIELD_SECONDS * (1 - own_strength):
+            return True
+        if waited > YIELD_SECONDS:
             return False
-        least = self.members.own.processor * STRONGER_RATIO
+        least = own_strength * STRONGER_RATIO
         return any(
-            member.processor >= least
+            strength(member) >= least
             and self.members.silence_of(member.name) < HEARD_SECONDS
             for member in self.members.others()
             if member.name not in self.members.leaving
@@ -244,6 +259,14 @@
             listener()
 
 
+def strength(member: fleet.Member) -> float:
+    """Returns how much of what a coordinator needs a member has; 1 is ample."""
+    return min(
+        member.processor / AMPLE_PROCESSOR,
+        member.link_mbps / AMPLE_LINK_MBPS,
+    )
+
+
 def _seen(batch: stored.Batch, now: float) -> leadership.Seen | None:
     for record in batch.records:
         if record.key != KEY or record.payload is None:
--- a/src/bilberryglade/_membership/enrolment.py
+++ b/src/bilberryglade/_membership/enrolment.py
@@ -14,7 +14,7 @@
 
 from bilberryglade._codec import codec
 from bilberryglade._membership import candidacy, fleet
-from bilberryglade._values import clock, stored
+from bilberryglade._values import clock, site, stored
 from bilberryglade.platform import store
 from bilberryglade_schema import fleet as messages
 
@@ -73,6 +73,7 @@
             'address': own.address,
             'failure_domain': own.failure_domain,
             'processor': own.processor,
+            'link_mbps': own.link_mbps,
         }
         payload = codec.encode_packed(entry)
         while True:
@@ -147,6 +148,7 @@
                 failure_domain=entry.ok_value['failure_domain'],
                 offset=record.offset,
                 processor=entry.ok_value.get('processor', 1),
+                link_mbps=entry.ok_value.get('link_mbps', site.USUAL_LINK_MBPS),
             ),
         )
 
--- a/src/bilberryglade/_membership/fleet.py
+++ b/src/bilberryglade/_membership/fleet.py
@@ -4,7 +4,7 @@
 from collections import abc
 
 from bilberryglade._peers import network
-from bilberryglade._values import clock
+from bilberryglade._values import clock, site
 from bilberryglade_schema import fleet as messages
 
 
@@ -21,6 +21,8 @@
     offset: int = -1
     #: Processor time that it may use, in cores.
     processor: float = 1
+    #: Bandwidth of its link, in Mbit/s.
+    link_mbps: float = site.USUAL_LINK_MBPS
 
 
 class Fleet:
@@ -128,6 +130,7 @@
             'failure_domain': self.own.failure_domain,
             'is_leaving': is_leaving,
             'processor': self.own.processor,
+            'link_mbps': self.own.link_mbps,
         }
 
     def _forget_sockets(self) -> None:
--- a/src/bilberryglade/_membership/tests/test_candidacy.py
+++ b/src/bilberryglade/_membership/tests/test_candidacy.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from bilberryglade._membership import candidacy, fleet
+from bilberryglade._membership import candidacy, fleet, leadership
 from bilberryglade._values import clock
 from bilberryglade.platform.tests import servers
 from bilberryglade_schema import fleet as messages
@@ -118,14 +118,25 @@
         self.store = await servers.start_store()
         self.addAsyncCleanup(self.store.stop)
         self.lease = follower(self.store.client)
-        self.lease.looking_since = clock.now()
 
-    def hear(self, processor: float) -> None:
-        """Hears of an instance with so many cores."""
-        strong = member('c')._replace(processor=processor)
+    def hear(self, processor: float, link_mbps: float = 1000) -> None:
+        """Hears of an instance with so many cores and such a link."""
+        strong = member('c')._replace(processor=processor, link_mbps=link_mbps)
         self.lease.members.take(strong)
         self.lease.members.hear('c')
 
+    def own(self, processor: float, link_mbps: float) -> None:
+        """Gives this instance so many cores and such a link."""
+        members = self.lease.members
+        members.own = members.own._replace(
+            processor=processor, link_mbps=link_mbps
+        )
+
+    def wait(self, seconds: float) -> None:
+        """Lets the lease be free for so many seconds more."""
+        assert self.lease.free_since is not None
+        self.lease.free_since -= seconds
+
     async def look(self) -> bool:
         """Looks once; returns whether the lease was claimed."""
         await self.lease._look()  # noqa: WPS437
@@ -135,9 +146,36 @@
         """A weak instance waits for it, for a limited time."""
         self.hear(2.0)
         self.assertFalse(await self.look())
-        self.lease.looking_since -= candidacy.YIELD_SECONDS
+        self.wait(candidacy.YIELD_SECONDS)
+        self.assertTrue(await self.look())
+
+    async def test_coordinator_does_not_lose_its_lease_to_its_own_link(
+        self,
+    ) -> None:
+        """An instance with a small link leaves the lease to one with more."""
+        self.own(processor=2, link_mbps=10)
+        self.hear(2.0, link_mbps=100)
+        self.assertFalse(await self.look())
+        self.wait(candidacy.YIELD_SECONDS)
         self.assertTrue(await self.look())
 
+    async def test_weak_instance_is_not_first_in_a_fleet_that_starts(
+        self,
+    ) -> None:
+        """It waits though it knows of no other, but not for long."""
+        self.own(processor=0.4, link_mbps=100)
+        self.assertFalse(await self.look())
+        self.wait(candidacy.YIELD_SECONDS / 2 + 0.01)
+        self.assertTrue(await self.look())
+
+    async def test_time_counts_from_when_the_lease_is_free(self) -> None:
+        """While it is held a weak instance waits for nothing."""
+        self.hear(2.0)
+        with mock.patch.object(leadership, 'may_claim', return_value=False):
+            await self.look()
+        self.assertIsNone(self.lease.free_since)
+        self.assertFalse(await self.look())
+
     async def test_equal_instances_do_not_wait(self) -> None:
         """Where all have about the same, the first to look coordinates."""
         self.hear(1.2)
--- a/src/bilberryglade/_values/site.py
+++ b/src/bilberryglade/_values/site.py
@@ -2,6 +2,9 @@
 
 import typing
 
+#: Bandwidth of a link of which nothing is said, in Mbit/s.
+USUAL_LINK_MBPS: typing.Final = 1000.0
+
 
 class Bounds(typing.NamedTuple):
     """Promises to the users; times are in seconds."""
@@ -39,3 +42,5 @@
     bounds: Bounds
     #: Processor time that the instance may use, in cores.
     processor: float = 1
+    #: Bandwidth of its link, in Mbit/s.
+    link_mbps: float = USUAL_LINK_MBPS
--- a/src/bilberryglade/platform/node_file.py
+++ b/src/bilberryglade/platform/node_file.py
@@ -42,6 +42,9 @@
         target_beat=durations.seconds_of(node['provider']['heartbeat']),
         bounds=_bounds(node['terms']['bounds']),
         processor=_processor(process.get('limits', {})),
+        link_mbps=process.get('limits', {}).get(
+            'link_mbps', site.USUAL_LINK_MBPS
+        ),
     )
 
 
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -24,6 +24,9 @@
 WorkSeconds: TypeAlias = Annotated[float, Meta(ge=0, le=1000000)]
 
 
+Megabits: TypeAlias = Annotated[float, Meta(ge=0, le=1000000000)]
+
+
 Cores: TypeAlias = Annotated[float, Meta(ge=0, le=1000000)]
 
 
@@ -69,6 +72,7 @@
     failure_domain: str
     is_leaving: bool
     processor: NotRequired[Cores]
+    link_mbps: NotRequired[Megabits]
 
 
 class Lead(TypedDict):
@@ -249,6 +253,7 @@
     address: PeerAddress
     failure_domain: str
     processor: NotRequired[Cores]
+    link_mbps: NotRequired[Megabits]
 
 
 class PeerKeys(TypedDict):
--- a/src/bilberryglade_schema/provider.py
+++ b/src/bilberryglade_schema/provider.py
@@ -52,6 +52,7 @@
 
     cpu_share: NotRequired[float]
     cores: NotRequired[float]
+    link_mbps: NotRequired[float]
 
 
 class ListenTable(TypedDict):
