A coordinator greets the instance that started alone

Each instance that started had the coordinator's sign of life sent to all: 4,692 messages, 660 KB, in the first seconds of a fleet of 69, over a link that may have 5 Mbit/s. Only the one that started needs it; the others get the next one within 0.5 s.

test_start_of_a_fleet_costs_its_coordinator_no_square failed before.

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -196,7 +196,7 @@
         """Tells a new instance what is known here, if this one coordinates."""
         if not self.candidacy.holds:
             return
-        self.lead()
+        self.fleet.send(name, self._sign_of_life())
         whole = self.reader.whole(topics.TARGETS)
         if whole is not None:
             self.fleet.send(name, whole)
--- /dev/null
+++ b/src/bilberryglade/_instance/tests/test_greeting.py
@@ -0,0 +1,19 @@
+"""What a coordinator sends when an instance starts."""
+
+import unittest
+from unittest import mock
+
+from bilberryglade._instance import entry
+
+
+class GreetingTests(unittest.TestCase):
+    """An instance that has just started."""
+
+    def test_start_of_a_fleet_costs_its_coordinator_no_square(self) -> None:
+        """Only the instance that started is told who coordinates."""
+        parts = mock.Mock()
+        entry.Parts.greet(parts, 'new')
+        parts.fleet.send_all.assert_not_called()
+        parts.lead.assert_not_called()
+        told = {call.args[0] for call in parts.fleet.send.call_args_list}
+        self.assertEqual(told, {'new'})
