One that lacks records as well answers an ask with nothing

An instance that was asked for records it lacked itself sent all the others that it knew, a whole configuration of no use to the one that asked. An ask tells offset and sum of what is known; the answer is empty unless more is known here.

--- a/src/bilberryglade/_knowledge/operators.py
+++ b/src/bilberryglade/_knowledge/operators.py
@@ -92,12 +92,21 @@
             'kind': 'relay_ask',
             'sender': members.own.name,
             'newest': self.mark().newest,
+            'total': self.mark().total,
         }
         members.send(asked, ask)
 
     def answer(self, ask: messages.RelayAsk) -> None:
-        """Sends an instance the records that it lacks."""
-        self.reader.tell_newer(TOPIC, ask['sender'], ask.get('newest', -1))
+        """Sends an instance the records that it lacks, if they are known here.
+
+        One that knows the newest lacks an earlier one, and gets all.
+        """
+        own = self.mark()
+        asked = catching_up.Mark(ask.get('newest', -1), ask.get('total', 0))
+        if own == asked or own.newest < asked.newest:
+            return
+        after = -1 if own.newest == asked.newest else asked.newest
+        self.reader.tell_newer(TOPIC, ask['sender'], after)
 
     def mark(self) -> catching_up.Mark:
         """Returns what tells of a difference to another instance."""
--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -114,18 +114,16 @@
         batch = stored.Batch(records, end, relay['is_whole'])
         self.learn(topic, batch, read_at)
 
-    def tell_newer(self, topic: str, name: str, newest: int) -> None:
-        """Sends an instance the records of a topic that it lacks.
-
-        `newest` is the offset of the newest one that it knows; if none is newer
-        here, it lacks an earlier one, and gets all.
-        """
+    def tell_newer(self, topic: str, name: str, after: int) -> None:
+        """Sends an instance the records of a topic behind an offset."""
         read_at = self.known.read_at.get(topic)
         if read_at is None:
             return
-        known = tuple(self.newest[topic].values())
-        newer = tuple(record for record in known if record.offset > newest)
-        records = newer or known
+        records = tuple(
+            record
+            for record in self.newest[topic].values()
+            if record.offset > after
+        )
         end = self.known.ends.get(topic, 0)
         batch = stored.Batch(records, end, is_whole=False)
         self.members.send(name, self._message(topic, batch, read_at))
--- a/src/bilberryglade/_knowledge/tests/test_odd_messages.py
+++ b/src/bilberryglade/_knowledge/tests/test_odd_messages.py
@@ -72,7 +72,7 @@
         'is_whole': True,
         'records': [{'key': 't', 'offset': 1, 'value': samples.entry()}],
     },
-    'relay_ask': {'newest': 3},
+    'relay_ask': {'newest': 3, 'total': 3},
     'operator_mark': {
         'operator_offset': -1,
         'operator_total': 0,
--- a/src/bilberryglade/_knowledge/tests/test_operators.py
+++ b/src/bilberryglade/_knowledge/tests/test_operators.py
@@ -144,8 +144,18 @@
         self.assertEqual(kinds, ['operator_mark', 'relay_ask'])
         ask: messages.RelayAsk = {'kind': 'relay_ask', 'sender': 'a'}
         ask['newest'] = 20
+        ask['total'] = 23
         self.assertEqual(self.answered(ask), '9')
 
+    async def test_one_that_lacks_it_as_well_answers_nothing(self) -> None:
+        """Records that who asks has already are not sent again."""
+        ask: messages.RelayAsk = {'kind': 'relay_ask', 'sender': 'a'}
+        for newest in (20, 25):
+            ask['newest'] = newest
+            ask['total'] = newest
+            with self.subTest(newest=newest):
+                self.assertEqual(self.answered(ask), '')
+
     async def test_both_know_the_same(self) -> None:
         """Nothing is sent; what is known is confirmed with its age."""
         self.hear(20, age_ms=700)
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -166,6 +166,7 @@
     kind: Literal['relay_ask']
     sender: str
     newest: NotRequired[Offset]
+    total: NotRequired[Whole]
 
 
 class OperatorMark(TypedDict):
