Messages of others do not keep the loop to themselves

Cause: waiting for a message of ZeroMQ that has come already does not suspend. Reading callers, closes, timers and leases waited.

Others of the loop now have a turn after each 10 ms of messages.

test_a_burst_of_messages_does_not_hold_up_the_loop: a timer 1.18 s late before, the whole burst; below 0.1 s now.

--- a/src/bilberryglade/_peers/network.py
+++ b/src/bilberryglade/_peers/network.py
@@ -1,5 +1,6 @@
 """Sockets between instances: CURVE for members alone, bounded queues."""
 
+import asyncio
 import typing
 from collections import abc
 
@@ -11,6 +12,7 @@
 
 from bilberryglade._codec import codec
 from bilberryglade._peers import handlers
+from bilberryglade._values import clock
 from bilberryglade_schema import peer, settings
 
 MAX_MESSAGE_BYTES: typing.Final = 20_971_520
@@ -30,6 +32,8 @@
 #: Pause before the next try, at first and at most.
 RECONNECT_MS: typing.Final = 100
 LONGEST_RECONNECT_MS: typing.Final = 400
+#: Longest time for which messages are taken before others of the loop run.
+TURN_SECONDS: typing.Final = 0.01
 #: Unusable addresses that are told of.
 MOST_UNUSABLE: typing.Final = 50
 
@@ -79,6 +83,8 @@
         self.sent_kinds: dict[str, Sent] = {}
         #: Addresses that no socket takes, which were told.
         self.unusable: set[str] = set()
+        #: Seconds at which others of the loop get a turn, whatever has come.
+        self.turn_ends_at: float = 0
 
     def open(self) -> None:
         """Binds the receiving socket; only holders of the fleet's key pass."""
@@ -121,7 +127,7 @@
         self,
     ) -> result.Result[Received, Rejected]:
         """Returns the next message with its handler, or why it is skipped."""
-        frames = await self.receiver.recv_multipart()
+        frames = await self._next_frames()
         raw = frames[-1]
         envelope = codec.decode_packed(raw, peer.Envelope)
         if isinstance(envelope, result.Err):
@@ -149,6 +155,24 @@
         self.authenticator.stop()
         self.context.destroy(LINGER_MS)
 
+    async def _next_frames(self) -> list[bytes]:
+        """Returns the frames of the next message.
+
+        Waiting for one that is there does not suspend, so that messages which
+        come faster than they are handled would keep the loop to themselves.
+        """
+        arriving: asyncio.Future[list[bytes]] = asyncio.ensure_future(
+            self.receiver.recv_multipart()
+        )
+        if not arriving.done():
+            frames = await arriving
+            self.turn_ends_at = clock.now() + TURN_SECONDS
+            return frames
+        if clock.now() > self.turn_ends_at:
+            await asyncio.sleep(0)
+            self.turn_ends_at = clock.now() + TURN_SECONDS
+        return arriving.result()
+
     def _send_encoded(self, address: str, kind: str, raw: bytes) -> bool:
         sender = self.senders.get(address) or self._connect(address)
         if sender is None:
--- a/src/bilberryglade/_peers/tests/test_network.py
+++ b/src/bilberryglade/_peers/tests/test_network.py
@@ -1,16 +1,33 @@
 """Connections between instances."""
 
+import asyncio
+import typing
 import unittest
+from unittest import mock
 
 import zmq
 
 from bilberryglade._codec import codec
 from bilberryglade._peers import network
+from bilberryglade._values import clock
 
 #: Time after a partition's end by which instances should speak again.
 BACK_MS = 1000
 #: Time after which an instance that suffered a fault counts as in reach.
 CONTACT_MS = 3000
+#: A second of messages, one after the other.
+MESSAGES: typing.Final = 1000
+HANDLING_SECONDS: typing.Final = 0.001
+TICK_SECONDS: typing.Final = 0.01
+#: A fifth of the time after which work for callers that left counts.
+MOST_LATE_SECONDS: typing.Final = 0.1
+
+
+def arrived(messages: list[list[bytes]]) -> asyncio.Future[list[bytes]]:
+    """Returns the next message; as with ZeroMQ, it is there at once."""
+    future = asyncio.get_running_loop().create_future()
+    future.set_result(messages.pop())
+    return future
 
 
 def network_for(case: unittest.TestCase) -> network.PeerNetwork:
@@ -67,6 +84,32 @@
         )
 
 
+class BusyTests(unittest.IsolatedAsyncioTestCase):
+    """Messages that come faster than they are handled."""
+
+    async def test_a_burst_of_messages_does_not_hold_up_the_loop(self) -> None:
+        """Callers and timers have their turns between the messages."""
+        peers = network_for(self)
+        peers.receiver.close(0)
+        messages = [[b''] for _ in range(MESSAGES)]
+        peers.receiver = mock.Mock(recv_multipart=lambda: arrived(messages))
+
+        async def receive() -> None:  # noqa: WPS430
+            while messages:
+                await peers.receive()
+                until = clock.now() + HANDLING_SECONDS
+                while clock.now() < until:
+                    """Handles the message."""
+
+        receiving = asyncio.create_task(receive())
+        late_seconds: float = 0
+        while not receiving.done():
+            due_at = clock.now() + TICK_SECONDS
+            await asyncio.sleep(TICK_SECONDS)
+            late_seconds = max(late_seconds, clock.now() - due_at)
+        self.assertLess(late_seconds, MOST_LATE_SECONDS)
+
+
 class AddressTests(unittest.IsolatedAsyncioTestCase):
     """Addresses that somebody else has written."""
 
