A whole service's permits are given by an instance with ample strength

The instance that stood still for 3.44 s gave the permits of a service without keys, to all others, with 0.43 cores: it was drawn by its name alone. Where instances differ, those with ample processor and link now come first for such a pool; those of a target that owns keys are spread as before, and fleets of equal instances are ranked as before.

test_weak_instance_does_not_give_the_permits_of_a_whole_service failed before.

--- a/src/bilberryglade/_delivery/permit_broker.py
+++ b/src/bilberryglade/_delivery/permit_broker.py
@@ -269,8 +269,10 @@
     """Returns the names of all members that are not leaving, by rank.
 
     The first one is the dispatcher of `pool`. Members in `failure_domain` come
-    before all others.
+    before all others. Without one the pool is a whole service, whose requests
+    all ask there: members that have ample strength come first.
     """
+    is_service = not failure_domain
     staying = [
         member
         for member in members.members.values()
@@ -280,6 +282,7 @@
         staying,
         key=lambda member: (
             member.failure_domain != failure_domain,
+            is_service and fleet.strength(member) < 1,
             -spreading.score(member.name, pool),
         ),
     )
--- a/src/bilberryglade/_delivery/tests/test_permit_broker.py
+++ b/src/bilberryglade/_delivery/tests/test_permit_broker.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 import unittest
+from unittest import mock
 
 from bilberryglade._delivery import permit_broker, permits, send_results
 from bilberryglade._membership import fleet
@@ -148,6 +149,29 @@
             with self.subTest(name=name):
                 self.assertGreater(dispatchers.count(name), 30)
 
+    def test_weak_instance_does_not_give_the_permits_of_a_whole_service(
+        self,
+    ) -> None:
+        """One with ample strength does; a target's are spread over all."""
+        strong = {'a1', 'c0'}
+        own = fleet.Member('a0', 'boot', '127.0.0.1:1', 'a', processor=0.4)
+        members = fleet.Fleet(own, mock.Mock())
+        for name in ('a1', 'a2', 'b0', 'b1', 'b2', 'c0', 'c1', 'c2'):
+            processor = 2.0 if name in strong else 0.4
+            members.take(
+                fleet.Member(name, 'boot', name, name[0], processor=processor)
+            )
+        first = {
+            permit_broker.rank_members(f's{number}/', '', members)[0]
+            for number in range(40)
+        }
+        self.assertEqual(first, strong)
+        near = {
+            permit_broker.rank_members(f's/t{number}', 'b', members)[0]
+            for number in range(40)
+        }
+        self.assertEqual(near, {'b0', 'b1', 'b2'})
+
 
 def _only_target(_service: str, _owner: str) -> list[directory.Target]:
     return [TARGET]
--- a/src/bilberryglade/_membership/candidacy.py
+++ b/src/bilberryglade/_membership/candidacy.py
@@ -26,10 +26,6 @@
 YIELD_SECONDS: typing.Final = 0.8
 STRONGER_RATIO: typing.Final = 1.5
 HEARD_SECONDS: typing.Final = 3.0
-#: Cores and Mbit/s that are ample for the coordinator of a large fleet: its
-#: orders, tables and tokens took 5 Mbit/s in a fleet of 69 under load.
-AMPLE_PROCESSOR: typing.Final = 0.8
-AMPLE_LINK_MBPS: typing.Final = 50.0
 #: Seconds after a call that failed.
 RETRY_SECONDS: typing.Final = 0.25
 LEAST_PAUSE_SECONDS: typing.Final = 0.05
@@ -175,7 +171,7 @@
         """
         if self.free_since is None:
             self.free_since = now
-        own_strength = strength(self.members.own)
+        own_strength = fleet.strength(self.members.own)
         waited = now - self.free_since
         if waited < YIELD_SECONDS * (1 - own_strength):
             return True
@@ -183,7 +179,7 @@
             return False
         least = own_strength * STRONGER_RATIO
         return any(
-            strength(member) >= least
+            fleet.strength(member) >= least
             and self.members.silence_of(member.name) < HEARD_SECONDS
             for member in self.members.others()
             if member.name not in self.members.leaving
@@ -259,14 +255,6 @@
             listener()
 
 
-def strength(member: fleet.Member) -> float:
-    """Returns how much of what a coordinator needs a member has; 1 is ample."""
-    return min(
-        member.processor / AMPLE_PROCESSOR,
-        member.link_mbps / AMPLE_LINK_MBPS,
-    )
-
-
 def _seen(batch: stored.Batch, now: float) -> leadership.Seen | None:
     for record in batch.records:
         if record.key != KEY or record.payload is None:
--- a/src/bilberryglade/_membership/fleet.py
+++ b/src/bilberryglade/_membership/fleet.py
@@ -7,6 +7,12 @@
 from bilberryglade._values import clock, site
 from bilberryglade_schema import fleet as messages
 
+#: Cores and Mbit/s that are ample for a duty towards a whole large fleet: the
+#: coordinator's orders, tables and tokens took 5 Mbit/s in a fleet of 69 under
+#: load.
+AMPLE_PROCESSOR: typing.Final = 0.8
+AMPLE_LINK_MBPS: typing.Final = 50.0
+
 
 class Member(typing.NamedTuple):
     """One instance."""
@@ -25,6 +31,14 @@
     link_mbps: float = site.USUAL_LINK_MBPS
 
 
+def strength(member: Member) -> float:
+    """Returns how much a member has of what such a duty needs; 1 is ample."""
+    return min(
+        member.processor / AMPLE_PROCESSOR,
+        member.link_mbps / AMPLE_LINK_MBPS,
+    )
+
+
 class Fleet:
     """All known instances; every message to peers goes through here."""
 
