--- a/src/bilberryglade/_peers/network.py
+++ b/src/bilberryglade/_peers/network.py
@@ -126,8 +126,20 @@
     async def receive(
         self,
     ) -> result.Result[Received, Rejected]:
-        """Returns the next message with its handler, or why it is skipped."""
-        frames = await self._next_frames()
+        """Returns the next message with its handler, or why it is skipped.
+
+        Waiting for one that has come already does not suspend, so that messages
+        which come faster than they are handled would keep the loop to themselves.
+        """
+        arriving: asyncio.Future[list[bytes]] = asyncio.ensure_future(
+            self.receiver.recv_multipart()
+        )
+        is_turn_over = not arriving.done() or clock.now() > self.turn_ends_at
+        if is_turn_over and arriving.done():
+            await asyncio.sleep(0)
+        frames = await arriving
+        if is_turn_over:
+            self.turn_ends_at = clock.now() + TURN_SECONDS
         raw = frames[-1]
         envelope = codec.decode_packed(raw, peer.Envelope)
         if isinstance(envelope, result.Err):
@@ -155,24 +167,6 @@
         self.authenticator.stop()
         self.context.destroy(LINGER_MS)
 
-    async def _next_frames(self) -> list[bytes]:
-        """Returns the frames of the next message.
-
-        Waiting for one that is there does not suspend, so that messages which
-        come faster than they are handled would keep the loop to themselves.
-        """
-        arriving: asyncio.Future[list[bytes]] = asyncio.ensure_future(
-            self.receiver.recv_multipart()
-        )
-        if not arriving.done():
-            frames = await arriving
-            self.turn_ends_at = clock.now() + TURN_SECONDS
-            return frames
-        if clock.now() > self.turn_ends_at:
-            await asyncio.sleep(0)
-            self.turn_ends_at = clock.now() + TURN_SECONDS
-        return arriving.result()
-
     def _send_encoded(self, address: str, kind: str, raw: bytes) -> bool:
         sender = self.senders.get(address) or self._connect(address)
         if sender is None:
