Operators' marks are worked out once, and only where they are needed

Each 0.25 s an instance summed its records and listed its neighbours though it lacked nothing, and a sign of life cost the same sum three times.

--- a/src/bilberryglade/_knowledge/operators.py
+++ b/src/bilberryglade/_knowledge/operators.py
@@ -66,8 +66,9 @@
         A coordinator that lacks records is told so.
         """
         self.hear_mark(lead)
+        own = self.mark()
         told = _told(lead)
-        if self.mark() != told and self.mark().newest >= told.newest:
+        if own != told and own.newest >= told.newest:
             self.reader.members.send(lead['sender'], self._mark_message())
 
     def hear_mark(self, message: messages.Lead | messages.OperatorMark) -> None:
@@ -82,17 +83,18 @@
 
     def catch_up(self) -> None:
         """Asks another instance for records that this one lacks, if due."""
+        if not self.catching_up.teller:
+            return
         members = self.reader.members
-        asked = self.catching_up.next_to_ask(
-            self.mark(), members.near(), clock.now()
-        )
+        own = self.mark()
+        asked = self.catching_up.next_to_ask(own, members.near(), clock.now())
         if not asked:
             return
         ask: messages.RelayAsk = {
             'kind': 'relay_ask',
             'sender': members.own.name,
-            'newest': self.mark().newest,
-            'total': self.mark().total,
+            'newest': own.newest,
+            'total': own.total,
         }
         members.send(asked, ask)
 
