Entries of targets are read in time whoever is cut off

Cause: without the coordinator an instance read the entries 1.0 s + 0.12 s x its rank by name among all members after its last knowledge, cut off or not: 3.76 s at best with 23 names before it.

Change: turns are taken within the failure domain and all lie within a part of the drain time (_knowledge/turns.py), so members that cannot be heard only let theirs pass. Whoever reads relays what is new since its own reading began; a whole reading is told as what it changes, not whole. Before, the first relay of each new reader went out whole to all, and the offset from which a reader told stood still while others told, so that a follower who had missed a relay of theirs could take a later one as complete.

A request's line names who told of the targets (targets_from), and one that begins to read for others says whose silence it has waited out.

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -99,7 +99,9 @@
         self.fleet = fleet.Fleet(own, self.peers)
         self.candidacy = candidacy.Candidacy(self.fleet, client)
         self.enrolment = enrolment.Enrolment(self.fleet, client, self.candidacy)
-        self.reader = reading.Reader(self.fleet, client, self.candidacy)
+        self.reader = reading.Reader(
+            self.fleet, client, self.candidacy, place.bounds.drain
+        )
         self.operators = operators.Operators(self.reader)
         self.departures = departures.Departures(
             self.fleet, self.reader, self.candidacy, place.bounds.drain
--- a/src/bilberryglade/_knowledge/knowledge.py
+++ b/src/bilberryglade/_knowledge/knowledge.py
@@ -20,6 +20,15 @@
     since: float
 
 
+class Origin(typing.NamedTuple):
+    """Where records come from."""
+
+    #: Seconds at which the store was asked, by this instance's clock.
+    read_at: float
+    #: Name of the instance that read or relayed them.
+    instance: str = ''
+
+
 class Knowledge(typing.NamedTuple):
     """The state of the store as far as this instance has read it."""
 
@@ -32,6 +41,8 @@
     ends: immutables.Map[str, int] = immutables.Map()
     #: Seconds at which each topic was read last, by anybody.
     read_at: immutables.Map[str, float] = immutables.Map()
+    #: Name of the instance that read or relayed what is newest of each topic.
+    source: immutables.Map[str, str] = immutables.Map()
     omitted: left_out.LeftOut = left_out.LeftOut()
 
     def age(self, topic: str, now: float) -> float:
@@ -63,9 +74,9 @@
     known: Knowledge,
     topic: str,
     batch: stored.Batch,
-    read_at: float,
+    origin: Origin,
 ) -> Knowledge:
-    """Returns the knowledge after `batch`, which was read at `read_at`.
+    """Returns the knowledge after `batch`.
 
     A whole reading that is older than what is known changes nothing.
     """
@@ -73,11 +84,14 @@
     if batch.is_whole and batch.end < end:
         loguru.logger.info('stale reading of {} left out', topic)
         return known
+    read_at = origin.read_at
     gap = known.age(topic, read_at) if topic in known.read_at else 0
     fold = topics.folds.entries[topic]
     after = fold(known, topics.Reading(batch, read_at, gap))
-    newest = max(read_at, known.read_at.get(topic, read_at))
+    after = after._replace(ends=known.ends.set(topic, max(batch.end, end)))
+    if read_at < known.read_at.get(topic, read_at):
+        return after
     return after._replace(
-        ends=known.ends.set(topic, max(batch.end, end)),
-        read_at=known.read_at.set(topic, newest),
+        read_at=known.read_at.set(topic, read_at),
+        source=known.source.set(topic, origin.instance),
     )
--- a/src/bilberryglade/_knowledge/operators.py
+++ b/src/bilberryglade/_knowledge/operators.py
@@ -13,7 +13,12 @@
 
 import result
 
-from bilberryglade._knowledge import catching_up, reading, topics
+from bilberryglade._knowledge import (
+    catching_up,
+    knowledge,
+    reading,
+    topics,
+)
 from bilberryglade._values import clock, stored
 from bilberryglade_schema import fleet as messages
 
@@ -55,7 +60,9 @@
             # A long poll says what holds at its end; what it began with is
             # the safe side for a reading of everything.
             read_at = began if batch.ok_value.is_whole else clock.now()
-            self.reader.learn(TOPIC, batch.ok_value, read_at)
+            own = self.reader.members.own.name
+            origin = knowledge.Origin(read_at, own)
+            self.reader.learn(TOPIC, batch.ok_value, origin)
             self.confirmed_at = max(self.confirmed_at, read_at)
             if batch.ok_value.records and self.reader.relays():
                 self.reader.members.send_all(self._mark_message())
--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -1,8 +1,8 @@
 """Reads the store's topics and relays what is new to the other instances.
 
-The coordinator reads the targets' entries for all. Whoever hears nothing for
-longer than its turn reads for itself and relays, so a part of the fleet that
-is cut off, or whose reader is refused, still has a reader.
+The coordinator reads the targets' entries for all. Whoever hears nothing until
+its turn reads for itself and relays, so a part of the fleet that is cut off, or
+whose reader is refused, still has a reader.
 """
 
 import asyncio
@@ -12,7 +12,7 @@
 import loguru
 import result
 
-from bilberryglade._knowledge import knowledge, topics
+from bilberryglade._knowledge import knowledge, news, topics, turns
 from bilberryglade._membership import candidacy, fleet
 from bilberryglade._targets import directory as directories
 from bilberryglade._values import clock, stored
@@ -21,11 +21,9 @@
 
 #: Seconds between reads of the targets' entries.
 TARGETS_PAUSE_SECONDS: typing.Final = 0.3
-#: Age of knowledge from which the instance with the first turn reads.
-TURN_SECONDS: typing.Final = 1.0
-#: Seconds between the turns of two instances.
-TURN_STEP_SECONDS: typing.Final = 0.12
 LOOK_SECONDS: typing.Final = 0.1
+#: How much before its turn an instance may read.
+EARLY_SECONDS: typing.Final = 0.001
 RETRY_SECONDS: typing.Final = 0.4
 LEAST_PAUSE_SECONDS: typing.Final = 0.05
 #: Seconds between relays that only tell that nothing is new.
@@ -40,27 +38,34 @@
         members: fleet.Fleet,
         client: store.StoreClient,
         lease: candidacy.Candidacy,
+        drain_seconds: float,
     ) -> None:
-        """Knows nothing."""
+        """Knows nothing; a leaving target gets nothing after `drain_seconds`."""
         self.members = members
         self.client = client
         self.lease = lease
+        self.drain_seconds = drain_seconds
         self.known = knowledge.Knowledge()
         #: Called after each change of the knowledge.
         self.listeners: list[abc.Callable[[], None]] = []
         self.quiet_since: float = 0
         #: Newest record of each key by topic, for those who start.
         self.newest: dict[str, dict[str, stored.Record]] = {}
-        #: Offset up to which this instance relayed each topic.
-        self.relayed: dict[str, int] = {}
+        #: Offset up to which this instance itself read the targets' entries, and
+        #: the offset from which on what it read was not relayed yet.
+        self.read_until = -1
+        self.relay_start = -1
         #: Whether the last call of this instance was answered, by topic.
         self.is_answered: dict[str, bool] = {}
+        #: Topics of which a relay was missed.
+        self.missed: set[str] = set()
 
     async def follow_targets(self) -> None:
         """Reads the targets' entries in turn until cancelled."""
         while True:
-            if not self._is_due():
-                await asyncio.sleep(LOOK_SECONDS)
+            due_seconds = self._seconds_to_turn()
+            if due_seconds > EARLY_SECONDS:
+                await asyncio.sleep(min(due_seconds, LOOK_SECONDS))
                 continue
             began = clock.now()
             answered = await self.read_targets()
@@ -74,19 +79,24 @@
         topic = topics.TARGETS
         began = clock.now()
         end = self.known.ends.get(topic)
-        if end is None or not self.is_answered.get(topic, False):
+        is_answered = self.is_answered.get(topic, False)
+        if end is None or topic in self.missed or not is_answered:
             batch = await self.client.newest(topic)
         else:
             batch = await self.client.read(topic, end, 0)
         self.note(topic, batch)
         if isinstance(batch, result.Err):
             return False
+        self.missed.discard(topic)
+        self._tell_turn(began)
         before = self.known.directory
-        self.learn(topic, batch.ok_value, began)
-        news = batch.ok_value
-        if not news.is_whole:
-            news = news._replace(records=self._changing(news, before))
-        self._relay_targets(news, began)
+        read = batch.ok_value
+        fresh = read
+        if read.is_whole and end is not None:
+            fresh = news.since(read, end, self.newest[topic])
+        self.learn(topic, read, knowledge.Origin(began, self.members.own.name))
+        fresh = news.changing(fresh, before, self.known.directory)
+        self._relay_targets(fresh, end, began)
         return True
 
     def hear(self, relay: messages.Relay) -> None:
@@ -106,13 +116,13 @@
             end = known_end
         elif not relay['is_whole'] and relay['start'] > known_end:
             # Something in between was missed: only a whole reading heals it.
-            self.is_answered[topic] = False
+            self.missed.add(topic)
             if topic not in self.known.read_at:
                 return
             end = known_end
             read_at = self.known.read_at[topic]
         batch = stored.Batch(records, end, relay['is_whole'])
-        self.learn(topic, batch, read_at)
+        self.learn(topic, batch, knowledge.Origin(read_at, relay['sender']))
 
     def tell_newer(self, topic: str, name: str, after: int) -> None:
         """Sends an instance the records of a topic behind an offset."""
@@ -165,22 +175,16 @@
         """Tells whether this instance passes on what it reads."""
         return self.lease.holds or not self.lease.coordinator
 
-    def relay(self, topic: str, batch: stored.Batch, read_at: float) -> None:
-        """Sends what was read at `read_at` to all others."""
-        message = self._message(topic, batch, read_at)
-        if topic not in self.relayed:
-            message = self.whole(topic) or message
-        self.members.send_all(message)
-        self.relayed[topic] = batch.end
-
-    def learn(self, topic: str, batch: stored.Batch, read_at: float) -> None:
-        """Takes in what was read at `read_at`."""
+    def learn(
+        self, topic: str, batch: stored.Batch, origin: knowledge.Origin
+    ) -> None:
+        """Takes in what was read."""
         before = self.known.directory
-        self.known = knowledge.learn(self.known, topic, batch, read_at)
+        self.known = knowledge.learn(self.known, topic, batch, origin)
         _note_targets(before, self.known.directory)
         kept = self.newest.setdefault(topic, {})
         if batch.is_whole:
-            _forget_dropped(kept, batch)
+            news.forget_dropped(kept, batch)
         for record in batch.records:
             known = kept.get(record.key)
             if known is not None and known.offset >= record.offset:
@@ -206,37 +210,57 @@
             'store gives no answer: {}, {}', topic, batch.err_value
         )
 
-    def _changing(
-        self,
-        news: stored.Batch,
-        before: directories.Directory,
-    ) -> tuple[stored.Record, ...]:
-        """Returns the records that say more than that a target lives."""
-        after = self.known.directory
-        return tuple(
-            record
-            for record in news.records
-            if directories.is_change(
-                before.targets.get(record.key), after.targets.get(record.key)
-            )
-            or record.payload is None
-        )
-
-    def _is_due(self) -> bool:
+    def _seconds_to_turn(self) -> float:
+        """Returns the seconds until this instance is to read the targets."""
         if self.lease.holds:
-            return True
+            return 0
         age = self.known.age(topics.TARGETS, clock.now())
-        names = sorted(self.members.members)
-        turn = names.index(self.members.own.name)
-        return age > TURN_SECONDS + turn * TURN_STEP_SECONDS
+        own = self.members.own.name
+        return (
+            turns.turn_age(
+                own, self.members.near(), topics.TARGETS, self.drain_seconds
+            )
+            - age
+        )
 
-    def _relay_targets(self, news: stored.Batch, read_at: float) -> None:
+    def _relay_targets(
+        self, fresh: stored.Batch, end: int | None, read_at: float
+    ) -> None:
+        """Relays what is new since `end`, up to which others may know all."""
+        if end is None:
+            # Whoever starts is told by others, and tells them nothing.
+            self.read_until = fresh.end
+            self.relay_start = fresh.end
+            return
+        if self.read_until != end:
+            # Others relayed in between; what they did not tell is not told here.
+            self.relay_start = end
+        self.read_until = fresh.end
         now = clock.now()
-        is_quiet = not news.records
+        is_quiet = not fresh.records
         if is_quiet and now - self.quiet_since < QUIET_RELAY_SECONDS:
             return
         self.quiet_since = now
-        self.relay(topics.TARGETS, news, read_at)
+        message = self._message(topics.TARGETS, fresh, read_at)
+        message['start'] = self.relay_start
+        self.members.send_all(message)
+        self.relay_start = fresh.end
+
+    def _tell_turn(self, now: float) -> None:
+        """Writes a line when this instance begins to read for others."""
+        topic = topics.TARGETS
+        own = self.members.own.name
+        source = self.known.source.get(topic, own)
+        if self.lease.holds or source == own:
+            return
+        loguru.logger.info(
+            'entries of targets read here: {} told of them {:.2f} s ago, '
+            'coordinator {} silent for {:.2f} s',
+            source,
+            self.known.age(topic, now),
+            self.lease.coordinator,
+            now - self.lease.led_at,
+        )
 
     def _message(
         self,
@@ -248,7 +272,7 @@
             'kind': 'relay',
             'sender': self.members.own.name,
             'topic': topic,
-            'start': self.relayed.get(topic, batch.end),
+            'start': batch.end,
             'end': batch.end,
             'age_ms': int((clock.now() - read_at) * 1000) + 1,
             'is_whole': batch.is_whole,
@@ -284,14 +308,3 @@
             change.what,
             target.offset,
         )
-
-
-def _forget_dropped(
-    kept: dict[str, stored.Record],
-    batch: stored.Batch,
-) -> None:
-    """Removes the keys that a whole reading does not name any more."""
-    named = {record.key for record in batch.records}
-    for key, record in list(kept.items()):
-        if key not in named and record.offset < batch.end:
-            kept.pop(key)
--- a/src/bilberryglade/_knowledge/tests/test_configuration_traffic.py
+++ b/src/bilberryglade/_knowledge/tests/test_configuration_traffic.py
@@ -137,7 +137,7 @@
             spec=candidacy.Candidacy, holds=name == LEADER, coordinator=LEADER
         )
         reader = reading.Reader(
-            members, typing.cast(typing.Any, self.stores[name]), lease
+            members, typing.cast(typing.Any, self.stores[name]), lease, 2.0
         )
         self.bus.parts[name] = types.SimpleNamespace(
             fleet=members,
--- a/src/bilberryglade/_knowledge/tests/test_foreign_configurations.py
+++ b/src/bilberryglade/_knowledge/tests/test_foreign_configurations.py
@@ -205,7 +205,9 @@
                     catalogues, 'decode', wraps=catalogues.decode
                 ) as decode,
             ):
-                known = knowledge.learn(before, topics.OPERATOR, batch, 1)
+                known = knowledge.learn(
+                    before, topics.OPERATOR, batch, knowledge.Origin(1)
+                )
                 self.assertEqual(_version(known), version)
                 self.assertEqual(decode.call_count, decoded)
                 self.assertEqual(known.catalogue_offset, records[-1].offset)
@@ -232,7 +234,8 @@
 ) -> knowledge.Knowledge:
     records = (stored.Record(key, offset, payload),)
     batch = stored.Batch(records, offset + 1, is_whole=False)
-    return knowledge.learn(known, topics.OPERATOR, batch, offset)
+    origin = knowledge.Origin(offset)
+    return knowledge.learn(known, topics.OPERATOR, batch, origin)
 
 
 def _version(known: knowledge.Knowledge) -> int | None:
--- a/src/bilberryglade/_knowledge/tests/test_foreign_entries.py
+++ b/src/bilberryglade/_knowledge/tests/test_foreign_entries.py
@@ -109,7 +109,10 @@
         members = fleet.Fleet(own, mock.Mock())
         self.client = mock.AsyncMock()
         self.reader = reading.Reader(
-            members, self.client, candidacy.Candidacy(members, self.client)
+            members,
+            self.client,
+            candidacy.Candidacy(members, self.client),
+            2.0,
         )
 
     async def test_first_reading(self) -> None:
--- a/src/bilberryglade/_knowledge/tests/test_left_out.py
+++ b/src/bilberryglade/_knowledge/tests/test_left_out.py
@@ -29,7 +29,8 @@
         offset = next(self.offsets)
         records = (stored.Record(key, offset, entry),)
         batch = stored.Batch(records, offset + 1, is_whole=False)
-        self.known = knowledge.learn(self.known, topics.TARGETS, batch, offset)
+        origin = knowledge.Origin(offset)
+        self.known = knowledge.learn(self.known, topics.TARGETS, batch, origin)
 
     def test_repeats_are_told_once(self) -> None:
         """An odd entry comes with each sign of life of its writer."""
--- a/src/bilberryglade/_knowledge/tests/test_operators.py
+++ b/src/bilberryglade/_knowledge/tests/test_operators.py
@@ -10,6 +10,7 @@
 
 from bilberryglade._knowledge import (
     catching_up,
+    knowledge,
     operators,
     reading,
     topics,
@@ -48,12 +49,14 @@
         members.take(fleet.Member('a', 'a1', '127.0.0.1:2', 'x'))
         self.client = mock.AsyncMock()
         self.reader = reading.Reader(
-            members, self.client, candidacy.Candidacy(members, self.client)
+            members, self.client, candidacy.Candidacy(members, self.client), 2.0
         )
         self.operators = operators.Operators(self.reader)
         first = batch(configuration(9, 20), is_whole=True)
         self.client.newest.return_value = first
-        self.reader.learn(topics.OPERATOR, first.ok_value, clock.now())
+        self.reader.learn(
+            topics.OPERATOR, first.ok_value, knowledge.Origin(clock.now())
+        )
         self.reader.note(topics.OPERATOR, first)
 
     def version(self) -> int:
@@ -94,7 +97,7 @@
         """Returns the version at one that lacks all and gets the answer."""
         self.peers.reset_mock()
         self.operators.answer(ask)
-        other = reading.Reader(mock.Mock(), mock.Mock(), mock.Mock())
+        other = reading.Reader(mock.Mock(), mock.Mock(), mock.Mock(), 2.0)
         for told in self.sent():
             other.hear(told)
         known = other.known.catalogue
@@ -110,7 +113,9 @@
         asks = [(sent['kind'], sent['newest']) for sent in self.sent()]
         self.assertEqual(asks, [('relay_ask', 20)])
         read = batch(configuration(11, 25), is_whole=True)
-        self.reader.learn(topics.OPERATOR, read.ok_value, clock.now())
+        self.reader.learn(
+            topics.OPERATOR, read.ok_value, knowledge.Origin(clock.now())
+        )
         self.catch_up(60)
         self.assertEqual(len(self.sent()), 1)
 
--- a/src/bilberryglade/_knowledge/tests/test_reading.py
+++ b/src/bilberryglade/_knowledge/tests/test_reading.py
@@ -1,9 +1,12 @@
 """Knowledge of the store: read here, relayed from others, never going back."""
 
+import asyncio
 import typing
 import unittest
 from unittest import mock
 
+import result
+
 from bilberryglade._knowledge import knowledge, reading, topics
 from bilberryglade._membership import candidacy, fleet
 from bilberryglade._values import stored
@@ -52,7 +55,7 @@
         members = fleet.Fleet(own, mock.Mock())
         client = mock.Mock()
         self.reader = reading.Reader(
-            members, client, candidacy.Candidacy(members, client)
+            members, client, candidacy.Candidacy(members, client), 2.0
         )
 
     def names(self) -> set[str]:
@@ -74,7 +77,12 @@
         self.reader.is_answered[topics.TARGETS] = True
         self.reader.hear(relay(topics.TARGETS, 7, 9, listed('u', 8)))
         self.assertEqual(self.reader.known.ends[topics.TARGETS], 5)
-        self.assertFalse(self.reader.is_answered[topics.TARGETS])
+        whole = stored.Batch((), 9, is_whole=True)
+        client = mock.AsyncMock()
+        client.newest.return_value = result.Ok(whole)
+        self.reader.client = client
+        self.assertTrue(asyncio.run(self.reader.read_targets()))
+        client.newest.assert_awaited_once_with(topics.TARGETS)
 
     def test_relay_before_the_first_reading(self) -> None:
         """A part of what there is does not stand for the whole."""
@@ -129,12 +137,12 @@
         self,
         known: knowledge.Knowledge,
         at: float,
-        *records: stored.Record,
+        record: stored.Record,
     ) -> knowledge.Knowledge:
-        """Reads records at a moment."""
-        end = max(record.offset for record in records) + 1
-        batch = stored.Batch(records, end, is_whole=False)
-        return knowledge.learn(known, topics.TARGETS, batch, at)
+        """Reads a record at a moment."""
+        batch = stored.Batch((record,), record.offset + 1, is_whole=False)
+        origin = knowledge.Origin(at, 'b')
+        return knowledge.learn(known, topics.TARGETS, batch, origin)
 
     def test_lapse_and_return(self) -> None:
         """Only a drop that is read after a gap is doubted."""
@@ -153,5 +161,7 @@
         known = knowledge.Knowledge()
         for record, is_out in ((out, True), (back, False), (out, False)):
             batch = stored.Batch((record,), record.offset + 1, is_whole=False)
-            known = knowledge.learn(known, topics.OPERATOR, batch, 10)
+            known = knowledge.learn(
+                known, topics.OPERATOR, batch, knowledge.Origin(10)
+            )
             self.assertEqual(known.is_out('a'), is_out)
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -190,6 +190,7 @@
             targets_age_ms=int(known.age(topics.TARGETS, now) * MILLISECONDS)
             if topics.TARGETS in known.read_at
             else None,
+            targets_from=known.source.get(topics.TARGETS),
         ).info('request')
 
     def watch_peers(self, peers: network.PeerNetwork) -> None:
--- a/src/bilberryglade/_ownership/tests/lease_instance.py
+++ b/src/bilberryglade/_ownership/tests/lease_instance.py
@@ -42,6 +42,8 @@
 CLOCK_RATES: typing.Final = (0.99, 1.01)
 #: Interval of the `lead` messages in which the coordinator announces itself.
 LEAD_INTERVAL_SECONDS: typing.Final = 0.5
+#: Time in which a leaving target gets its last work.
+DRAIN_SECONDS: typing.Final = 2.0
 #: Interval of the checks for expired entries of targets.
 EXPIRY_INTERVAL_SECONDS: typing.Final = 0.25
 #: Time from the announcement of a planned stop to the end of the process.
@@ -69,7 +71,9 @@
             lease_links.StoreLink(simulation, name),  # type: ignore[arg-type]
         )
         self.candidacy = candidacy.Candidacy(self.fleet, client)
-        self.reader = reading.Reader(self.fleet, client, self.candidacy)
+        self.reader = reading.Reader(
+            self.fleet, client, self.candidacy, DRAIN_SECONDS
+        )
         self.reader.known = knowledge.Knowledge(
             catalogue=None, domains=immutables.Map(simulation.domains)
         )
--- a/src/bilberryglade/platform/tests/test_fuzz.py
+++ b/src/bilberryglade/platform/tests/test_fuzz.py
@@ -106,7 +106,9 @@
             for offset, payload in enumerate((sound, raw)):
                 record = stored.Record(key, offset, payload)
                 batch = stored.Batch((record,), offset + 1, is_whole=False)
-                known = knowledge.learn(known, topic, batch, offset)
+                known = knowledge.learn(
+                    known, topic, batch, knowledge.Origin(offset)
+                )
         self.assertIn('t', known.directory.targets)
         self.assertIsNotNone(known.catalogue)
 
@@ -234,7 +236,8 @@
     ) -> knowledge.Knowledge:
         """Reads one entry."""
         batch = stored.Batch((record,), record.offset + 1, is_whole=False)
-        return knowledge.learn(known, topics.TARGETS, batch, record.offset)
+        origin = knowledge.Origin(record.offset)
+        return knowledge.learn(known, topics.TARGETS, batch, origin)
 
 
 PLACEHOLDER: typing.Final = 'here'
