A gap in which nobody asked the store is no outage of it

Cause: entries also lapse while the store is away and come back within 2 s, so a drop that is read after a gap of 1.6 s was doubted for 2 s. But a gap also comes from a coordinator that nobody hears, while the store is up.

Change: a gap counts only if this instance asked the store in vain in it: its last call failed, or has waited 0.3 s. Instances whose own failure domain is cut off go on doubting the drops that they read when it heals.

Test: a drop read after 3 s without any call, which failed before, and one after a refused call, which held. The table of OutageTests asks more than before: a gap of 5 s alone keeps nothing any more, it was wrong in that.

--- a/src/bilberryglade/_knowledge/knowledge.py
+++ b/src/bilberryglade/_knowledge/knowledge.py
@@ -27,6 +27,8 @@
     read_at: float
     #: Name of the instance that read or relayed them.
     instance: str = ''
+    #: Whether this instance has asked the store in vain since it last knew more.
+    is_after_silence: bool = False
 
 
 class Knowledge(typing.NamedTuple):
@@ -85,7 +87,9 @@
         loguru.logger.info('stale reading of {} left out', topic)
         return known
     read_at = origin.read_at
-    gap = known.age(topic, read_at) if topic in known.read_at else 0
+    gap: float = 0
+    if origin.is_after_silence and topic in known.read_at:
+        gap = known.age(topic, read_at)
     fold = topics.folds.entries[topic]
     after = fold(known, topics.Reading(batch, read_at, gap))
     after = after._replace(ends=known.ends.set(topic, max(batch.end, end)))
--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -28,6 +28,9 @@
 LEAST_PAUSE_SECONDS: typing.Final = 0.05
 #: Seconds between relays that only tell that nothing is new.
 QUIET_RELAY_SECONDS: typing.Final = 0.6
+#: Age of a call without an answer from which the store counts as silent; some
+#: 70 times the usual answer.
+SILENT_CALL_SECONDS: typing.Final = 0.3
 
 
 class Reader:
@@ -59,6 +62,10 @@
         self.is_answered: dict[str, bool] = {}
         #: Topics of which a relay was missed.
         self.missed: set[str] = set()
+        #: Topics that were asked for in vain since something was last learnt.
+        self.silent: set[str] = set()
+        #: Seconds at which the call under way for targets' entries began.
+        self.asked_at: float | None = None
 
     async def follow_targets(self) -> None:
         """Reads the targets' entries in turn until cancelled."""
@@ -80,10 +87,12 @@
         began = clock.now()
         end = self.known.ends.get(topic)
         is_answered = self.is_answered.get(topic, False)
+        self.asked_at = began
         if end is None or topic in self.missed or not is_answered:
             batch = await self.client.newest(topic)
         else:
             batch = await self.client.read(topic, end, 0)
+        self.asked_at = None
         self.note(topic, batch)
         if isinstance(batch, result.Err):
             return False
@@ -94,7 +103,7 @@
         fresh = read
         if read.is_whole and end is not None:
             fresh = news.since(read, end, self.newest[topic])
-        self.learn(topic, read, knowledge.Origin(began, self.members.own.name))
+        self.learn(topic, read, self._own_origin(began))
         fresh = news.changing(fresh, before, self.known.directory)
         self._relay_targets(fresh, end, began)
         return True
@@ -122,7 +131,10 @@
             end = known_end
             read_at = self.known.read_at[topic]
         batch = stored.Batch(records, end, relay['is_whole'])
-        self.learn(topic, batch, knowledge.Origin(read_at, relay['sender']))
+        origin = knowledge.Origin(
+            read_at, relay['sender'], self._is_silent(topic)
+        )
+        self.learn(topic, batch, origin)
 
     def tell_newer(self, topic: str, name: str, after: int) -> None:
         """Sends an instance the records of a topic behind an offset."""
@@ -181,6 +193,7 @@
         """Takes in what was read."""
         before = self.known.directory
         self.known = knowledge.learn(self.known, topic, batch, origin)
+        self.silent.discard(topic)
         _note_targets(before, self.known.directory)
         kept = self.newest.setdefault(topic, {})
         if batch.is_whole:
@@ -200,6 +213,8 @@
     ) -> None:
         """Takes in whether the store answered a read of a topic."""
         is_answered = isinstance(batch, result.Ok)
+        if not is_answered:
+            self.silent.add(topic)
         if self.is_answered.get(topic) == is_answered:
             return
         self.is_answered[topic] = is_answered
@@ -246,6 +261,21 @@
         self.members.send_all(message)
         self.relay_start = fresh.end
 
+    def _is_silent(self, topic: str) -> bool:
+        """Tells whether the store was asked in vain since it was last heard of."""
+        if topic in self.silent:
+            return True
+        return (
+            topic == topics.TARGETS
+            and self.asked_at is not None
+            and clock.now() - self.asked_at > SILENT_CALL_SECONDS
+        )
+
+    def _own_origin(self, read_at: float) -> knowledge.Origin:
+        return knowledge.Origin(
+            read_at, self.members.own.name, topics.TARGETS in self.silent
+        )
+
     def _tell_turn(self, now: float) -> None:
         """Writes a line when this instance begins to read for others."""
         topic = topics.TARGETS
--- a/src/bilberryglade/_knowledge/tests/test_reading.py
+++ b/src/bilberryglade/_knowledge/tests/test_reading.py
@@ -9,7 +9,7 @@
 
 from bilberryglade._knowledge import knowledge, reading, topics
 from bilberryglade._membership import candidacy, fleet
-from bilberryglade._values import stored
+from bilberryglade._values import clock, stored
 from bilberryglade.platform import folds
 from bilberryglade.platform.tests import samples
 from bilberryglade_schema import fleet as messages
@@ -138,22 +138,70 @@
         known: knowledge.Knowledge,
         at: float,
         record: stored.Record,
+        *,
+        is_after_silence: bool = False,
     ) -> knowledge.Knowledge:
         """Reads a record at a moment."""
         batch = stored.Batch((record,), record.offset + 1, is_whole=False)
-        origin = knowledge.Origin(at, 'b')
+        origin = knowledge.Origin(at, 'b', is_after_silence)
         return knowledge.learn(known, topics.TARGETS, batch, origin)
 
     def test_lapse_and_return(self) -> None:
-        """Only a drop that is read after a gap is doubted."""
+        """A drop is doubted after a gap in which the store was silent."""
         entry = stored.Record('t', 0, samples.entry())
         dropped = stored.Record('t', 1, None)
         known = self.learn(knowledge.Knowledge(), 10, entry)
-        for gap, is_kept in ((0.5, False), (5.0, True)):
-            with self.subTest(gap=gap):
-                after = self.learn(known, 10 + gap, dropped)
+        cases = (
+            (0.5, False, False),
+            (0.5, True, False),
+            (5.0, True, True),
+            (5.0, False, False),
+        )
+        for gap, is_silent, is_kept in cases:
+            with self.subTest(gap=gap, is_silent=is_silent):
+                after = self.learn(
+                    known, 10 + gap, dropped, is_after_silence=is_silent
+                )
                 self.assertEqual('t' in after.directory.targets, is_kept)
 
+    def test_drop_is_believed_though_nobody_read_for_a_while(self) -> None:
+        """Guards against a lost coordinator that counts as a lost store."""
+        refused = result.Err(stored.Failure.refused)
+        dropped = stored.Batch(
+            (stored.Record('t', 1, None),), 2, is_whole=False
+        )
+        whole = stored.Batch((), 2, is_whole=True)
+        cases = (
+            ('answered at once', [result.Ok(dropped)], False),
+            ('refused before', [refused, result.Ok(whole)], True),
+        )
+        for name, answers, is_kept in cases:
+            with self.subTest(name=name):
+                client = mock.AsyncMock()
+                reader = self.reader_after_relay(client)
+                client.read.side_effect = answers
+                client.newest.side_effect = answers[1:]
+                later = clock.now() + 3
+                with mock.patch.object(clock, 'now', return_value=later):
+                    asyncio.run(self.read(reader, len(answers)))
+                known = reader.known.directory.targets
+                self.assertEqual('t' in known, is_kept)
+
+    def reader_after_relay(self, client: mock.AsyncMock) -> reading.Reader:
+        """Returns a reader that a coordinator has told of a target."""
+        own = fleet.Member('b', 'b1', '127.0.0.1:1', 'x')
+        members = fleet.Fleet(own, mock.Mock())
+        reader = reading.Reader(members, client, mock.Mock(), 2.0)
+        told = relay(topics.TARGETS, 0, 1, listed('t', 0), is_whole=True)
+        reader.hear(told)
+        reader.is_answered[topics.TARGETS] = True
+        return reader
+
+    async def read(self, reader: reading.Reader, times: int) -> None:
+        """Reads the targets so many times."""
+        for _ in range(times):
+            await reader.read_targets()
+
     def test_taken_out(self) -> None:
         """Operators take a failure domain out and restore it."""
         out = stored.Record('evacuate/a', 1, b'{}')
--- a/src/bilberryglade/_knowledge/topics.py
+++ b/src/bilberryglade/_knowledge/topics.py
@@ -20,7 +20,8 @@
     batch: stored.Batch
     #: Seconds at which the store was asked, by this instance's clock.
     read_at: float
-    #: Seconds for which nothing had been known of the topic before.
+    #: Seconds for which the store had given this instance no word of the topic,
+    #: though it was asked; 0 if it was not asked in vain.
     gap: float
 
 
