Words for the coordinator are told to others while it is silent

Cause: an instance that was told by a target that it leaves told the coordinator alone, and one that read new records of operators told nobody while it knew a coordinator by name.

Change: while no coordinator is heard, the first instance that gets a target's word tells all, and news of operators are told within the failure domain (all to all would be the square of the fleet). News are what changes the records known; a whole reading that confirms them is none.

--- a/src/bilberryglade/_knowledge/departures.py
+++ b/src/bilberryglade/_knowledge/departures.py
@@ -3,6 +3,7 @@
 The instance that got such an answer tells the coordinator at once, and repeats it,
 since that one may have been out of reach or have started since. The coordinator tells
 all others what is new to it, so that each instance needs a connection to it alone.
+While no coordinator is heard, the first instance that gets the answer tells all.
 """
 
 import typing
@@ -51,11 +52,14 @@
         if life in self.witnessed:
             return
         self.witnessed.add(life)
+        if life in self.reader.known.directory.leaving:
+            # Others were told by whoever told this instance.
+            return
         self._take(life, self.members.own.name)
         message = self._message((life,))
-        if self.lease.holds:
+        if self.lease.holds or not self.lease.is_heard:
             self.members.send_all(message)
-        elif self.lease.coordinator:
+        else:
             self.members.send(self.lease.coordinator, message)
 
     def hear(self, message: messages.Leaving) -> None:
--- a/src/bilberryglade/_knowledge/operators.py
+++ b/src/bilberryglade/_knowledge/operators.py
@@ -60,12 +60,13 @@
             # A long poll says what holds at its end; what it began with is
             # the safe side for a reading of everything.
             read_at = began if batch.ok_value.is_whole else clock.now()
+            before = self.mark()
             own = self.reader.members.own.name
             origin = knowledge.Origin(read_at, own)
             self.reader.learn(TOPIC, batch.ok_value, origin)
             self.confirmed_at = max(self.confirmed_at, read_at)
-            if batch.ok_value.records and self.reader.relays():
-                self.reader.members.send_all(self._mark_message())
+            if self.mark() != before:
+                self._tell_mark()
 
     def hear_lead(self, lead: messages.Lead) -> None:
         """Compares what the coordinator and this instance know.
@@ -135,6 +136,20 @@
             return UNKNOWN_AGE_MS
         return int((clock.now() - self.confirmed_at) * 1000) + 1
 
+    def _tell_mark(self) -> None:
+        """Tells others of records that were read here.
+
+        While the coordinator is silent each instance tells its failure domain
+        alone: all of them would send the square of the fleet.
+        """
+        members = self.reader.members
+        lease = self.reader.lease
+        if lease.holds or not lease.coordinator:
+            members.send_all(self._mark_message())
+        elif not lease.is_heard:
+            for name in members.near():
+                members.send(name, self._mark_message())
+
     def _mark_message(self) -> messages.OperatorMark:
         mark = self.mark()
         return {
--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -183,10 +183,6 @@
         batch = stored.Batch(records, end, is_whole=True)
         return self._message(topic, batch, self.known.read_at[topic])
 
-    def relays(self) -> bool:
-        """Tells whether this instance passes on what it reads."""
-        return self.lease.holds or not self.lease.coordinator
-
     def learn(
         self, topic: str, batch: stored.Batch, origin: knowledge.Origin
     ) -> None:
--- a/src/bilberryglade/_knowledge/tests/test_operators.py
+++ b/src/bilberryglade/_knowledge/tests/test_operators.py
@@ -205,6 +205,23 @@
         await self.follow(IN_FORCE_SECONDS)
         self.assertEqual(self.version(), 11)
 
+    async def test_news_reach_refused_neighbours_of_a_silent_coordinator(
+        self,
+    ) -> None:
+        """Guards against news that only a coordinator would tell."""
+        members = self.reader.members
+        members.take(fleet.Member('c', 'c1', '127.0.0.1:3', 'x'))
+        members.take(fleet.Member('d', 'd1', '127.0.0.1:4', 'y'))
+        self.hear(20)
+        self.reader.lease.coordinator = 'a'
+        await self.follow(IN_FORCE_SECONDS)
+        told = [
+            call.args[0]
+            for call in self.peers.send.call_args_list
+            if call.args[1]['kind'] == 'operator_mark'
+        ]
+        self.assertEqual(told, ['127.0.0.1:2', '127.0.0.1:3'])
+
     async def test_reading_that_is_older_than_what_is_known(self) -> None:
         """It confirms nothing, and takes nothing back."""
         self.client.newest.return_value = batch(
