Each claim of the coordinator's lease is told at once

Cause: a successor waits out the lease from when it first knew of the newest claim. Claims are made each 0.6 s, signs of life that name them were sent each 0.5 s, apart from each other; of a claim that was followed by the cut nobody had heard, so the lease counted from the first look, 1.4 s later.

Change: the sign of life goes out with each claim that the store took, each 0.5 s (writes 2 a second, before 1.7), and by the clock only while no claim is taken. What the coordinator tells of itself is a part of its own (_instance/announcing.py). Instances' parts of a pool are kept back 0.05 s sooner, as signs of life may lie 0.05 s further apart.

Test: three instances; the coordinator is cut off just after a claim.

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -18,7 +18,7 @@
     request_sender,
     router,
 )
-from bilberryglade._instance import serving
+from bilberryglade._instance import announcing, serving
 from bilberryglade._knowledge import (
     departures,
     operators,
@@ -54,7 +54,6 @@
 READY_STATUS: typing.Final = 200
 UNREADY_STATUS: typing.Final = 503
 METRICS_PORT: typing.Final = 9464
-LEAD_SECONDS: typing.Final = 0.5
 HOUSEKEEPING_SECONDS: typing.Final = 0.25
 #: Seconds after the signal in which new requests are still taken: the
 #: balancer looks once a second and needs two misses.
@@ -109,7 +108,7 @@
         self.targets = sender.Sender(
             TARGET_CONNECTIONS, ANSWER_BYTES, TARGET_IDLE_MS
         )
-        self.orders = sender.Sender(
+        order_sender = sender.Sender(
             ORDER_CONNECTIONS, ORDER_ANSWER_BYTES, TARGET_IDLE_MS
         )
         self.load_sum = key_loads.LoadSum()
@@ -120,12 +119,19 @@
             self.reader,
             lease_manager.LeaseManager(
                 self.candidacy,
-                orders.Orders(self.orders),
+                orders.Orders(order_sender),
                 self.reader,
                 place.bounds.longest_lease,
             ),
             self.load_sum,
         )
+        self.announcer = announcing.Announcer(
+            self.fleet,
+            self.candidacy,
+            self.operators,
+            self.departures,
+            self.steward,
+        )
         self._wire_requests()
 
     def instances(self) -> int:
@@ -183,50 +189,12 @@
         self.ledger.expire(clock.now(), lives)
         self.load_sum.forget_unlisted(listed.targets)
 
-    def lead(self) -> None:
-        """Tells all others that this instance coordinates."""
-        if self.candidacy.holds:
-            self.fleet.send_all(self._sign_of_life())
-
-    def tell_end(self) -> None:
-        """Tells all others that this instance coordinates no more."""
-        message = self._sign_of_life()
-        message['is_over'] = True
-        self.fleet.send_all(message)
-
-    def greet(self, name: str) -> None:
-        """Tells a new instance what is known here, if this one coordinates."""
-        if not self.candidacy.holds:
-            return
-        self.fleet.send(name, self._sign_of_life())
-        whole = self.reader.whole(topics.TARGETS)
-        if whole is not None:
-            self.fleet.send(name, whole)
-        self.departures.tell(name)
-        self.fleet.send(name, self.steward.assignment_message())
-
-    def _sign_of_life(self) -> messages.Lead:
-        mark = self.operators.mark()
-        return {
-            'kind': 'lead',
-            'sender': self.place.instance,
-            'term': self.candidacy.term,
-            'claim': self.candidacy.state.newest,
-            'tables_version': self.steward.tables.version,
-            'tables_change': self.steward.tables.change,
-            'operator_offset': mark.newest,
-            'operator_total': mark.total,
-            'operator_age_ms': self.operators.age_ms(),
-        }
-
     def _wire_requests(self) -> None:
         self.pools = pools.Pools(self.fleet, self.candidacy, self.organisations)
         self.desks = desks.Desks(
             self.fleet, self.candidacy, self.instances, self.pools.answer
         )
         self.candidacy.on_start.append(self.pools.begin)
-        self.candidacy.on_start.append(self.lead)
-        self.candidacy.on_end.append(self.tell_end)
         self.ledger = permits.PermitLedger(self.targets_of, self.cold_spacing)
         self.dispatching = permit_broker.PermitBroker(self.fleet, self.ledger)
         self.exchange = exchange.TargetExchange(self.targets)
@@ -301,7 +269,7 @@
             parts.reader.follow_targets(),
             parts.steward.run(),
             parts.reporter.run(),
-            self._lead(),
+            parts.announcer.run(),
             self._keep_house(),
             self._receive(),
             self._read_tables(),
@@ -386,11 +354,6 @@
         parts.front.ending.set_result(None)
         await asyncio.wait((serve,), timeout=FLUSH_SECONDS)
 
-    async def _lead(self) -> None:
-        while True:
-            self.parts.lead()
-            await asyncio.sleep(LEAD_SECONDS)
-
     async def _keep_house(self) -> None:
         while True:
             due_at = clock.now() + HOUSEKEEPING_SECONDS
--- a/src/bilberryglade/_instance/tests/test_greeting.py
+++ b/src/bilberryglade/_instance/tests/test_greeting.py
@@ -3,7 +3,7 @@
 import unittest
 from unittest import mock
 
-from bilberryglade._instance import entry
+from bilberryglade._instance import announcing
 
 
 class GreetingTests(unittest.TestCase):
@@ -11,9 +11,10 @@
 
     def test_start_of_a_fleet_costs_its_coordinator_no_square(self) -> None:
         """Only the instance that started is told who coordinates."""
-        parts = mock.Mock()
-        entry.Parts.greet(parts, 'new')
-        parts.fleet.send_all.assert_not_called()
-        parts.lead.assert_not_called()
-        told = {call.args[0] for call in parts.fleet.send.call_args_list}
+        members = mock.Mock()
+        parts = [mock.MagicMock() for _ in range(4)]
+        announcer = announcing.Announcer(members, *parts)
+        announcer.greet('new')
+        members.send_all.assert_not_called()
+        told = {call.args[0] for call in members.send.call_args_list}
         self.assertEqual(told, {'new'})
--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -31,7 +31,7 @@
             link_mbps=message.get('link_mbps', site.USUAL_LINK_MBPS),
         ),
     )
-    parts.greet(name)
+    parts.announcer.greet(name)
 
 
 @handlers.handler_for('lead', fleet.Lead)
--- a/src/bilberryglade/_knowledge/tests/test_odd_messages.py
+++ b/src/bilberryglade/_knowledge/tests/test_odd_messages.py
@@ -277,7 +277,7 @@
         await self.asyncSetUp()
         good = [_raw(name, {}) for name in GOOD]
         await self.receive(*good, _raw(kind, changed), *good)
-        message = self.parts._sign_of_life()  # noqa: SLF001
+        message = self.parts.announcer.sign_of_life()
         msgspec.msgpack.encode(message)
 
 
--- a/src/bilberryglade/_limits/parts.py
+++ b/src/bilberryglade/_limits/parts.py
@@ -16,7 +16,7 @@
 #: Seconds after an instance's last word that it hears of the coordinator from
 #: which its part of the pool is kept back: by then it still takes itself for
 #: led, also if the sign of life before the last one was the last that it heard.
-COVERED_SECONDS: typing.Final = 0.9
+COVERED_SECONDS: typing.Final = 0.85
 #: Tokens that an instance can always save up.
 LEAST_ROOM: typing.Final = 1.0
 #: Tokens that a request which is late already leaves to those in time.
--- a/src/bilberryglade/_membership/candidacy.py
+++ b/src/bilberryglade/_membership/candidacy.py
@@ -58,6 +58,8 @@
         self.told_claim = leadership.Told(-1, 0)
         #: Called when this instance becomes the coordinator.
         self.on_start: list[abc.Callable[[], None]] = []
+        #: Called with each claim that the store took, the first one too.
+        self.on_claim: list[abc.Callable[[], None]] = []
         #: Called when its lease has ended.
         self.on_end: list[abc.Callable[[], None]] = []
 
@@ -239,8 +241,12 @@
             return
         self.state = leadership.claimed(self.state, offset, sent_at)
         self.confirmed_at = sent_at
-        if was_coordinator:
-            return
+        if not was_coordinator:
+            self._begin()
+        for listener in self.on_claim:
+            listener()
+
+    def _begin(self) -> None:
         self.coordinator = self.members.own.name
         self.term = self.state.term
         loguru.logger.info('coordinator here: term {}', self.term)
--- a/src/bilberryglade/_membership/leadership.py
+++ b/src/bilberryglade/_membership/leadership.py
@@ -10,8 +10,9 @@
 
 #: Seconds that a claim holds; eight times the slowest answers of a slow store.
 LEASE_SECONDS: typing.Final = 2.0
-#: Seconds between renewals: two may fail before the lease ends.
-RENEWAL_SECONDS: typing.Final = 0.6
+#: Seconds between renewals: two may fail before the lease ends. Others are told
+#: of each.
+RENEWAL_SECONDS: typing.Final = 0.5
 #: Allowance for clocks that run apart.
 DRIFT_PART: typing.Final = 0.02
 #: Seconds between the end of a holder's work and a successor's claim.
--- a/src/bilberryglade/_ownership/tests/lease_instance.py
+++ b/src/bilberryglade/_ownership/tests/lease_instance.py
@@ -94,7 +94,7 @@
             simulation.loads,  # type: ignore[arg-type]
         )
         self.operators = self
-        self.candidacy.on_start.append(self.announce_lead)
+        self.candidacy.on_claim.append(self.announce_lead)
         self.candidacy.on_end.append(self.announce_end)
 
     def start(self) -> None:
