A process knows the instances before anything of it runs

Cause: until it has read the list an instance knows itself alone, and whatever is divided by the number of instances is whole then: quotas, retry budgets, the choice of those who may send to a cold target, who gives permits, who reads the store. "Not read yet" looked like "read, and alone".

Change: each entry is also written beside the key pair, in a partition that a process reads before anything of it runs and without which it does not start. So "not read yet" cannot be: the parts are made with what was read. The copies may be old; whoever is in them is greeted at once, and the list, once it is read, goes before them. The coordinator drops both. A start costs one append more, and reads some 150 bytes an instance with the keys.

Weighed: waiting for the list before being ready (all instances refuse everything while one partition is away), a cautious number (none is safe for a fleet of any size and serves a small one), the newest size in the coordinator's claims (a second partition too, but names are needed for ranks), asking peers (all may have been killed; the settings name none of them).

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -35,7 +35,6 @@
 from bilberryglade._targets import directory, sender
 from bilberryglade._values import clock, site
 from bilberryglade.platform import exchange, folds, front, orders, store
-from bilberryglade_schema import fleet as messages
 
 #: Connections to the store and to all targets, of each class.
 STORE_CONNECTIONS: typing.Final = 16
@@ -73,7 +72,7 @@
     def __init__(
         self,
         place: site.Site,
-        keys: messages.PeerKeys,
+        known: enrolment.Known,
         client: store.StoreClient,
     ) -> None:
         """Wires the parts; nothing runs yet."""
@@ -82,8 +81,8 @@
         self.peers = network.PeerNetwork(
             place.peer_address,
             {
-                'public_key': keys['public_key'],
-                'secret_key': keys['secret_key'],
+                'public_key': known.keys['public_key'],
+                'secret_key': known.keys['secret_key'],
             },
             PEER_QUEUE,
         )
@@ -95,7 +94,7 @@
             processor=place.processor,
             link_mbps=place.link_mbps,
         )
-        self.fleet = fleet.Fleet(own, self.peers)
+        self.fleet = fleet.Fleet(own, self.peers, known.members)
         self.candidacy = candidacy.Candidacy(self.fleet, client)
         self.enrolment = enrolment.Enrolment(self.fleet, client, self.candidacy)
         self.reader = reading.Reader(
@@ -264,6 +263,7 @@
         loops = (
             parts.candidacy.keep(),
             parts.enrolment.follow(),
+            parts.enrolment.keep_copy(),
             parts.enrolment.sweep(),
             parts.operators.follow(),
             parts.reader.follow_targets(),
@@ -401,5 +401,5 @@
     """Starts an instance at `place` and runs it until its planned stop."""
     http = sender.Sender(STORE_CONNECTIONS, STORE_ANSWER_BYTES)
     client = store.StoreClient(place.store_address, http)
-    keys = await enrolment.read_keys(client)
-    await Entry(Parts(place, keys, client)).run()
+    known = await enrolment.read_fleet(client)
+    await Entry(Parts(place, known, client)).run()
--- a/src/bilberryglade/_knowledge/tests/test_odd_messages.py
+++ b/src/bilberryglade/_knowledge/tests/test_odd_messages.py
@@ -11,6 +11,7 @@
 
 from bilberryglade._instance import entry
 from bilberryglade._knowledge import topics
+from bilberryglade._membership import enrolment
 from bilberryglade._peers import handlers, network
 from bilberryglade.platform import node_file
 from bilberryglade.platform.tests import samples
@@ -173,7 +174,8 @@
         self.peers.receive = lambda: RECEIVE(self.peers)
         keys: messages.PeerKeys = {'public_key': '', 'secret_key': ''}
         with mock.patch.object(network, 'PeerNetwork', return_value=self.peers):
-            self.parts = entry.Parts(SITE, keys, mock.AsyncMock())
+            known = enrolment.Known(keys)
+            self.parts = entry.Parts(SITE, known, mock.AsyncMock())
         self.running = entry.Entry(self.parts)
 
     async def receive(self, *raw: bytes) -> None:
--- a/src/bilberryglade/_membership/enrolment.py
+++ b/src/bilberryglade/_membership/enrolment.py
@@ -3,6 +3,10 @@
 Whoever may write to the store is an instance. The key pair that all instances
 share is kept there by a conditional append, so that the first one to start
 makes it and all others take it over.
+
+What is divided among the instances follows from who they are. So each entry also
+stands beside the key pair, which a process reads before anything of it runs: it
+never takes itself for the only instance because the list could not be read.
 """
 
 import asyncio
@@ -21,6 +25,8 @@
 KEYS_TOPIC: typing.Final = 'peer-keys'
 KEYS_KEY: typing.Final = 'pair'
 MEMBERS_TOPIC: typing.Final = 'members'
+#: Begins the keys of the copies of entries beside the key pair.
+COPY_PREFIX: typing.Final = 'member/'
 #: Milliseconds for which a read of the members waits for news.
 WAIT_MS: typing.Final = 20_000
 RETRY_SECONDS: typing.Final = 0.4
@@ -29,14 +35,22 @@
 SWEEP_SECONDS: typing.Final = 5.0
 
 
-async def read_keys(client: store.StoreClient) -> messages.PeerKeys:
-    """Returns the fleet's key pair; asks until the store has answered."""
+class Known(typing.NamedTuple):
+    """What a process reads of the fleet before anything of it runs."""
+
+    keys: messages.PeerKeys
+    #: The instances that had written copies of their entries, as of then.
+    members: tuple[fleet.Member, ...] = ()
+
+
+async def read_fleet(client: store.StoreClient) -> Known:
+    """Returns what is known of the fleet; asks until the store has answered."""
     while True:
         newest = await client.newest(KEYS_TOPIC)
         if isinstance(newest, result.Ok):
             keys = _keys_in(newest.ok_value)
             if keys is not None:
-                return keys
+                return Known(keys, _copies_in(newest.ok_value))
             await client.append(
                 KEYS_TOPIC,
                 KEYS_KEY,
@@ -64,29 +78,29 @@
         self.is_read = False
         #: Names whose entries could not be read, which were told once.
         self.unreadable: set[str] = set()
+        #: Set while this instance's copy is to be written.
+        self.is_copy_due = asyncio.Event()
 
     async def join(self) -> None:
         """Writes this instance's entry; asks until the store took it."""
-        own = self.members.own
-        entry: messages.Member = {
-            'boot': own.boot,
-            'address': own.address,
-            'failure_domain': own.failure_domain,
-            'processor': own.processor,
-            'link_mbps': own.link_mbps,
-        }
-        payload = codec.encode_packed(entry)
+        self.is_copy_due.set()
+        await self._write(MEMBERS_TOPIC, self.members.own.name)
+
+    async def keep_copy(self) -> None:
+        """Writes the copy of this instance's entry each time that it joins."""
         while True:
-            appended = await self.client.append(
-                MEMBERS_TOPIC, own.name, payload
-            )
-            if isinstance(appended, result.Ok):
-                return
-            await asyncio.sleep(RETRY_SECONDS)
+            await self.is_copy_due.wait()
+            self.is_copy_due.clear()
+            await self._write(KEYS_TOPIC, COPY_PREFIX + self.members.own.name)
 
     async def follow(self) -> None:
-        """Joins, then follows the list until cancelled."""
+        """Joins, then follows the list until cancelled.
+
+        Says hello at once to those who were known before the list is read.
+        """
         end: int | None = None
+        greeted = {member.name for member in self.members.others()}
+        self._greet(greeted)
         await self.join()
         while True:
             if end is None:
@@ -103,7 +117,13 @@
                 await self.join()
             if not self.is_read:
                 self.is_read = True
-                self.members.send_all(self.members.hello(is_leaving=False))
+                loguru.logger.info(
+                    'list of members read: {}, {} known before',
+                    len(self.members.members),
+                    len(greeted) + 1,
+                )
+                named = {member.name for member in self.members.others()}
+                self._greet(named - greeted)
 
     async def sweep(self) -> None:
         """Takes silent members off the list while coordinating."""
@@ -115,8 +135,32 @@
                 self.members.heard.setdefault(member.name, clock.now())
                 if self.members.silence_of(member.name) > SILENT_SECONDS:
                     loguru.logger.info('member {} is gone', member.name)
+                    copy = COPY_PREFIX + member.name
+                    await self.client.append(KEYS_TOPIC, copy, b'')
                     await self.client.append(MEMBERS_TOPIC, member.name, b'')
 
+    def _greet(self, names: set[str]) -> None:
+        hello = self.members.hello(is_leaving=False)
+        for name in sorted(names):
+            self.members.send(name, hello)
+
+    async def _write(self, topic: str, key: str) -> None:
+        """Writes this instance's entry; asks until the store took it."""
+        own = self.members.own
+        entry: messages.Member = {
+            'boot': own.boot,
+            'address': own.address,
+            'failure_domain': own.failure_domain,
+            'processor': own.processor,
+            'link_mbps': own.link_mbps,
+        }
+        payload = codec.encode_packed(entry)
+        while True:
+            appended = await self.client.append(topic, key, payload)
+            if isinstance(appended, result.Ok):
+                return
+            await asyncio.sleep(RETRY_SECONDS)
+
     def _take(self, batch: stored.Batch) -> bool:
         """Takes in entries; returns False if this instance lost its own."""
         own = self.members.own.name
@@ -134,30 +178,51 @@
         if record.payload is None:
             self.members.drop(record.key)
             return
-        entry = codec.decode_packed(record.payload, messages.Member)
-        if isinstance(entry, result.Err):
+        member = _member(record.key, record.payload)
+        if member is None:
             if record.key not in self.unreadable:
                 loguru.logger.warning('member {} unreadable', record.key)
             self.unreadable.add(record.key)
             return
-        self.members.take(
-            fleet.Member(
-                name=record.key,
-                boot=entry.ok_value['boot'],
-                address=entry.ok_value['address'],
-                failure_domain=entry.ok_value['failure_domain'],
-                offset=record.offset,
-                processor=entry.ok_value.get('processor', 1),
-                link_mbps=entry.ok_value.get('link_mbps', site.USUAL_LINK_MBPS),
-            ),
-        )
+        self.members.take(member._replace(offset=record.offset))
 
     def _drop_unnamed(self, named: set[str]) -> None:
         for member in self.members.others():
-            if member.name not in named and member.offset >= 0:
+            is_listed = member.offset >= 0 or member.is_copied
+            if member.name not in named and is_listed:
                 self.members.drop(member.name)
 
 
+def _member(name: str, payload: bytes) -> fleet.Member | None:
+    """Returns the instance that an entry describes, if it can be read."""
+    entry = codec.decode_packed(payload, messages.Member)
+    if isinstance(entry, result.Err):
+        return None
+    return fleet.Member(
+        name=name,
+        boot=entry.ok_value['boot'],
+        address=entry.ok_value['address'],
+        failure_domain=entry.ok_value['failure_domain'],
+        processor=entry.ok_value.get('processor', 1),
+        link_mbps=entry.ok_value.get('link_mbps', site.USUAL_LINK_MBPS),
+    )
+
+
+def _copies_in(batch: stored.Batch) -> tuple[fleet.Member, ...]:
+    """Returns the instances of which copies can be read."""
+    found: list[fleet.Member] = []
+    for record in batch.records:
+        name = record.key.removeprefix(COPY_PREFIX)
+        if name == record.key or record.payload is None:
+            continue
+        member = _member(name, record.payload)
+        if member is None:
+            loguru.logger.warning('copy of member {} unreadable', name)
+            continue
+        found.append(member._replace(is_copied=True))
+    return tuple(found)
+
+
 def _keys_in(batch: stored.Batch) -> messages.PeerKeys | None:
     for record in batch.records:
         if record.key == KEYS_KEY and record.payload is not None:
--- a/src/bilberryglade/_membership/fleet.py
+++ b/src/bilberryglade/_membership/fleet.py
@@ -29,6 +29,8 @@
     processor: float = 1
     #: Bandwidth of its link, in Mbit/s.
     link_mbps: float = site.USUAL_LINK_MBPS
+    #: Whether only the copy of its entry is known, which may be old.
+    is_copied: bool = False
 
 
 def strength(member: Member) -> float:
@@ -42,11 +44,19 @@
 class Fleet:
     """All known instances; every message to peers goes through here."""
 
-    def __init__(self, own: Member, peers: network.PeerNetwork) -> None:
-        """Knows nobody but itself."""
+    def __init__(
+        self,
+        own: Member,
+        peers: network.PeerNetwork,
+        others: abc.Iterable[Member] = (),
+    ) -> None:
+        """Knows itself and the `others` that were read before the start."""
         self.own = own
         self.peers = peers
-        self.members: dict[str, Member] = {own.name: own}
+        self.members: dict[str, Member] = {
+            **{other.name: other for other in others},
+            own.name: own,
+        }
         #: Seconds at which a message of a member arrived last.
         self.heard: dict[str, float] = {}
         #: Names of members that said that they are about to stop.
--- a/src/bilberryglade/_membership/tests/test_odd_records.py
+++ b/src/bilberryglade/_membership/tests/test_odd_records.py
@@ -97,11 +97,11 @@
                 await self.write(
                     enrolment.KEYS_TOPIC, enrolment.KEYS_KEY, payload
                 )
-                read = await enrolment.read_keys(self.store.client)
+                read = (await enrolment.read_fleet(self.store.client)).keys
                 found = zmq.curve_public(read['secret_key'].encode())
                 self.assertEqual(found.decode(), read['public_key'])
-                again = await enrolment.read_keys(self.store.client)
-                self.assertEqual(again, read)
+                again = await enrolment.read_fleet(self.store.client)
+                self.assertEqual(again.keys, read)
 
 
 class ClaimTests(RecordCase):
--- a/src/bilberryglade/platform/tests/deployment.py
+++ b/src/bilberryglade/platform/tests/deployment.py
@@ -97,8 +97,8 @@
         client = store.StoreClient(
             place.store_address, sender.Sender(8, 1_000_000)
         )
-        keys = await enrolment.read_keys(client)
-        running = entry.Entry(entry.Parts(place, keys, client))
+        known = await enrolment.read_fleet(client)
+        running = entry.Entry(entry.Parts(place, known, client))
         self.entries.append(running)
         self.tasks.append(asyncio.create_task(running.run()))
 
--- a/src/bilberryglade_stand_ins/store_service.py
+++ b/src/bilberryglade_stand_ins/store_service.py
@@ -19,6 +19,8 @@
         """Nothing goes wrong."""
         #: Every call is refused with this status; 0 for none.
         self.refuses_with = 0
+        #: Topics whose partitions are down.
+        self.refused_topics: set[str] = set()
         #: Appends to come that are carried out and not answered.
         self.unanswered_appends = 0
         #: Seconds by which every answer is late.
@@ -39,7 +41,7 @@
 
     async def append(self, request: requests.Request) -> responses.Response:
         """Appends records."""
-        refusal = await self._refusal('append')
+        refusal = await self._refusal('append', request)
         if refusal is not None:
             return refusal
         query = dict(request.query_params)
@@ -54,7 +56,7 @@
 
     async def read(self, request: requests.Request) -> responses.Response:
         """Reads records, waiting for the first one."""
-        refusal = await self._refusal('read')
+        refusal = await self._refusal('read', request)
         if refusal is not None:
             return refusal
         query = dict(request.query_params)
@@ -73,7 +75,7 @@
 
     async def newest(self, request: requests.Request) -> responses.Response:
         """Returns the newest record of each key."""
-        refusal = await self._refusal('newest')
+        refusal = await self._refusal('newest', request)
         if refusal is not None:
             return refusal
         query = dict(request.query_params)
@@ -99,12 +101,16 @@
     ) -> bool:
         return partition.end <= start and not self.is_ending
 
-    async def _refusal(self, name: str) -> responses.Response | None:
+    async def _refusal(
+        self, name: str, request: requests.Request
+    ) -> responses.Response | None:
         self.calls[name] = self.calls.get(name, 0) + 1
         if self.faults.delay:
             await asyncio.sleep(self.faults.delay)
         if self.faults.refuses_with:
             return responses.Response(status_code=self.faults.refuses_with)
+        if request.query_params['topic'] in self.faults.refused_topics:
+            return responses.Response(status_code=REFUSED_STATUS)
         return None
 
 
