A small quota is held by as many instances as it has tokens

Cause: each instance could save up a token of its own however small its part of the burst was: 69 tokens lay in 69 instances of an organisation with a burst of 9, beside its rate and its pool.

Change: of a quota whose even part has less than a token for each instance, some instances of each failure domain hold the part of all, as many as there are whole tokens and one at least (_limits/division.py). The others ask one of these in their own domain, then the coordinator's pool. Without a coordinator the holders have the whole, so a domain that is cut off has its part as before. The pool is short of the shares of the holders that have not said lately that they hear the coordinator.

Weighed: everything in the pool (refuses all of a small organisation for 1.4 s when the coordinator is lost), tokens that lapse (most of its requests meet an instance without one), more holders (their rooms would exceed the burst).

Tests: rooms of all holders against the burst, 3 to 69 instances and bursts of 1 to 400, led or not (before: 69 for a burst of 1 or 9 at 69 instances); any window over holders and pool; whom an instance asks.

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -190,9 +190,7 @@
 
     def _wire_requests(self) -> None:
         self.pools = pools.Pools(self.fleet, self.candidacy, self.organisations)
-        self.desks = desks.Desks(
-            self.fleet, self.candidacy, self.instances, self.pools.answer
-        )
+        self.desks = desks.Desks(self.fleet, self.candidacy, self.pools)
         self.candidacy.on_start.append(self.pools.begin)
         self.ledger = permits.PermitLedger(self.targets_of, self.cold_spacing)
         self.dispatching = permit_broker.PermitBroker(self.fleet, self.ledger)
--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -53,8 +53,9 @@
 
 @handlers.handler_for('quota_ask', fleet.QuotaAsk)
 def handle_quota_ask(parts: 'entry.Parts', message: fleet.QuotaAsk) -> None:
-    """Answers an instance that needs tokens of a pool."""
-    parts.fleet.send(message['sender'], parts.pools.answer(message))
+    """Answers an instance that needs tokens of a pool or of an even part."""
+    asked = parts.desks if message.get('from_part') else parts.pools
+    parts.fleet.send(message['sender'], asked.answer(message))
 
 
 @handlers.handler_for('quota_grant', fleet.QuotaGrant)
@@ -62,7 +63,7 @@
     parts: 'entry.Parts',
     message: fleet.QuotaGrant,
 ) -> None:
-    """Takes in tokens of a pool."""
+    """Takes in tokens of a pool or of an even part."""
     parts.desks.take(message)
 
 
--- a/src/bilberryglade/_knowledge/tests/test_reading_turns.py
+++ b/src/bilberryglade/_knowledge/tests/test_reading_turns.py
@@ -9,13 +9,12 @@
 from collections import abc
 from unittest import mock
 
-import loguru
 import result
 
 from bilberryglade._knowledge import reading
 from bilberryglade._membership import candidacy, fleet
 from bilberryglade._ownership.tests import virtual_time
-from bilberryglade._values import clock, stored
+from bilberryglade._values import stored
 from bilberryglade.platform import folds
 from bilberryglade.platform.tests import samples
 
@@ -173,15 +172,15 @@
     calls: int
 
 
-async def play(case: Case, tasks: list[asyncio.Task[None]]) -> Seen:
+async def play(case: Case) -> Seen:
     """Plays a case up to the end of the drain time, but for the way there."""
     rng = random.Random(f'{case.size}{case.is_cut.__name__}{case.payload!r}')
     world = Fleet(case.size)
     loop = asyncio.get_running_loop()
-    tasks.extend(
+    following = {
         loop.create_task(reader.follow_targets())
         for reader in world.readers.values()
-    )
+    }
     await asyncio.sleep(rng.uniform(5, 6))
     world.is_cut = case.is_cut
     world.is_refused = case.is_refused
@@ -189,29 +188,17 @@
     await asyncio.sleep(rng.uniform(0, 4))
     world.write(case.payload)
     await asyncio.sleep(DRAIN_SECONDS - ON_THE_WAY_SECONDS)
+    for task in following:
+        task.cancel()
     return Seen(world.unaware(), world.calls)
 
 
-def seen(case: Case) -> Seen:
-    """Plays a case on virtual time."""
-    loop = virtual_time.VirtualLoop()
-    tasks: list[asyncio.Task[None]] = []
-    with mock.patch.object(clock, 'now', loop.clock):
-        found = loop.run_until_complete(play(case, tasks))
-        for task in tasks:
-            task.cancel()
-        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
-    loop.close()
-    return found
-
-
 class TurnTests(unittest.TestCase):
     """Entries of targets are read in time (review/3)."""
 
-    def setUp(self) -> None:
-        """Lines of dozens of instances tell nothing here."""
-        loguru.logger.disable('bilberryglade')
-        self.addCleanup(loguru.logger.enable, 'bilberryglade')
+    def seen(self, case: Case) -> Seen:
+        """Plays a case on virtual time."""
+        return virtual_time.run(virtual_time.VirtualLoop(), play(case))
 
     def test_leaving_target_is_known_in_time_whoever_is_cut_off(self) -> None:
         """Guards against turns that wait for members who are cut off."""
@@ -225,7 +212,7 @@
         for size, links, payload in itertools.product((4, 23), cuts, payloads):
             case = Case(size, links, payload)
             with self.subTest(case=case):
-                found = seen(case)
+                found = self.seen(case)
                 self.assertEqual(found.unaware, [])
                 # Not every instance reads for itself.
                 self.assertLess(found.calls, 10 * len(DOMAINS) * size)
@@ -233,4 +220,4 @@
     def test_refused_instances_are_told_by_their_failure_domain(self) -> None:
         """The store answers one instance of each, and not the coordinator."""
         case = Case(23, domains_are_apart, None, all_but_one_each)
-        self.assertEqual(seen(case).unaware, [])
+        self.assertEqual(self.seen(case).unaware, [])
--- a/src/bilberryglade/_limits/parts.py
+++ b/src/bilberryglade/_limits/parts.py
@@ -1,23 +1,25 @@
-"""How an organisation's quota is divided: a part for good, a pool for need.
+"""How an organisation's quota is divided: even parts for good, a pool for need.
 
-Every instance has an even part of the rate for good. The rest is a pool at the
-coordinator, from which tokens go to the instance that needs them. Tokens are
-subtracted before they are given; what is given and not spent is lost.
+The instances that hold an even part of the rate have it for good (`division`).
+The rest is a pool at the coordinator, from which tokens go to the instance that
+needs them. Tokens are subtracted before they are given; what is given and not
+spent is lost.
 
-An instance that hears of no coordinator takes its even part of the pool for
-itself. The pool is short of the parts of all instances that have not said
-lately that they hear of the coordinator, so that no token is given twice.
+A holder that hears of no coordinator takes its share of the pool for itself. The
+pool is short of the shares of all holders that have not said lately that they
+hear of the coordinator, so that no token is given twice.
 """
 
 import typing
 
-#: Part of a rate and of a burst that is divided evenly over the instances.
+#: Part of a rate and of a burst that is divided evenly over its holders.
 EVEN_PART: typing.Final = 0.45
 #: Seconds after an instance's last word that it hears of the coordinator from
 #: which its part of the pool is kept back: by then it still takes itself for
 #: led, also if the sign of life before the last one was the last that it heard.
 COVERED_SECONDS: typing.Final = 0.85
-#: Tokens that an instance can always save up.
+#: Tokens that a holder and the pool can always save up: a failure domain has one
+#: holder at least.
 LEAST_ROOM: typing.Final = 1.0
 #: Tokens that a request which is late already leaves to those in time.
 LATE_RESERVE: typing.Final = 1.0
@@ -31,19 +33,21 @@
     burst: float
 
 
+class Flow(typing.NamedTuple):
+    """How fast a bucket fills, and how far."""
+
+    rate: float
+    room: float
+
+
 class Bucket(typing.NamedTuple):
     """Tokens that may be spent, each on one request."""
 
     level: float
     #: Seconds at which it was filled last.
     filled_at: float
-
-
-class Flow(typing.NamedTuple):
-    """How fast a bucket fills, and how far."""
-
-    rate: float
-    room: float
+    #: What filled it until then; None if it has not been filled yet.
+    flow: Flow | None = None
 
 
 class Taken(typing.NamedTuple):
@@ -55,20 +59,21 @@
     retry_seconds: float = 0
 
 
-def even_flow(quota: Quota, instances: int, *, is_led: bool) -> Flow:
-    """Returns what fills the part of one instance.
+def even_flow(quota: Quota, share: float, *, is_led: bool) -> Flow:
+    """Returns what fills the bucket of a holder of this share.
 
     `is_led` tells whether it hears of a coordinator, which has the pool.
     """
-    part = EVEN_PART if is_led else 1
-    share = part / max(instances, 1)
-    return Flow(quota.rate * share, max(quota.burst * share, LEAST_ROOM))
+    if not share:
+        return Flow(0, 0)
+    part = EVEN_PART * share if is_led else share
+    return Flow(quota.rate * part, max(quota.burst * part, LEAST_ROOM))
 
 
 def pool_flow(quota: Quota, covered: float) -> Flow:
     """Returns what fills the pool at the coordinator.
 
-    `covered` is the part of the instances that hear of it.
+    `covered` are the shares of the holders that hear of it.
     """
     share = (1 - EVEN_PART) * covered
     return Flow(quota.rate * share, max(quota.burst * share, LEAST_ROOM))
@@ -107,7 +112,7 @@
         missing = max(1 + reserve - level, 0)
         retry_seconds = missing / flow.rate if flow.rate else 1.0
         retry_seconds = min(retry_seconds, LONGEST_RETRY_SECONDS)
-    return Taken(Bucket(level - amount, now), amount, retry_seconds)
+    return Taken(Bucket(level - amount, now, flow), amount, retry_seconds)
 
 
 def give_back(bucket: Bucket) -> Bucket:
--- a/src/bilberryglade/_limits/pools.py
+++ b/src/bilberryglade/_limits/pools.py
@@ -2,7 +2,7 @@
 
 from collections import abc
 
-from bilberryglade._limits import parts
+from bilberryglade._limits import division, parts
 from bilberryglade._membership import candidacy, fleet
 from bilberryglade._routing import catalogue
 from bilberryglade._values import clock
@@ -22,6 +22,7 @@
         self.members = members
         self.lease = lease
         self.organisations = organisations
+        self.divisions = division.Divisions(members)
         self.buckets: dict[str, parts.Bucket] = {}
         #: Seconds at which this term began; its pools were empty then.
         self.began_at: float = 0
@@ -43,16 +44,7 @@
 
     def answer(self, ask: messages.QuotaAsk) -> messages.QuotaGrant:
         """Takes tokens out of a pool; none if this one does not coordinate."""
-        taken = self._take(ask)
-        return {
-            'kind': 'quota_grant',
-            'sender': self.members.own.name,
-            'boot': ask['boot'],
-            'sequence': ask['sequence'],
-            'organisation': ask['organisation'],
-            'amount': taken.amount,
-            'retry_ms': int(taken.retry_seconds * 1000),
-        }
+        return grant_of(ask, self.members.own.name, self._take(ask))
 
     def _take(self, ask: messages.QuotaAsk) -> parts.Taken:
         holder = self.organisations().get(ask['organisation'])
@@ -61,7 +53,8 @@
         if holder is None or not self.lease.holds:
             return parts.Taken(empty, 0, 1.0)
         quota = parts.Quota(holder.rate, holder.burst)
-        flow = parts.pool_flow(quota, self._covered(now))
+        shares = self.divisions.division(holder.name, quota).shares
+        flow = parts.pool_flow(quota, self._covered(shares, now))
         taken = parts.take(
             self.buckets.get(holder.name, empty),
             flow,
@@ -75,11 +68,28 @@
         self.buckets[holder.name] = taken.bucket
         return taken
 
-    def _covered(self, now: float) -> float:
-        """Returns the part of the instances that hear of this one."""
-        covered = 1 + sum(
-            now - self.heard_by.get(member.name, float('-inf'))
+    def _covered(self, shares: abc.Mapping[str, float], now: float) -> float:
+        """Returns the shares of the holders that hear of this instance."""
+        own = self.members.own.name
+        return sum(
+            share
+            for name, share in shares.items()
+            if name == own
+            or now - self.heard_by.get(name, float('-inf'))
             < parts.COVERED_SECONDS
-            for member in self.members.others()
         )
-        return covered / len(self.members.members)
+
+
+def grant_of(
+    ask: messages.QuotaAsk, name: str, taken: parts.Taken
+) -> messages.QuotaGrant:
+    """Returns the answer of the instance called `name` to an ask."""
+    return {
+        'kind': 'quota_grant',
+        'sender': name,
+        'boot': ask['boot'],
+        'sequence': ask['sequence'],
+        'organisation': ask['organisation'],
+        'amount': taken.amount,
+        'retry_ms': int(taken.retry_seconds * 1000),
+    }
--- a/src/bilberryglade/_limits/tests/test_parts.py
+++ b/src/bilberryglade/_limits/tests/test_parts.py
@@ -7,12 +7,15 @@
 import hypothesis
 from hypothesis import strategies
 
-from bilberryglade._limits import parts
+from bilberryglade._limits import division, parts
 
 INSTANCES: typing.Final = 12
 QUOTA: typing.Final = parts.Quota(rate=40, burst=40)
-#: Single tokens that each bucket can save up whatever its part is.
-ROUNDING: typing.Final = INSTANCES + 1
+#: Instances of 3 failure domains.
+SIZES: typing.Final = (3, 12, 69)
+#: Single tokens that the pool and one holder of each failure domain can save up
+#: whatever their parts are.
+ROUNDING: typing.Final = 4
 
 
 class Ask(typing.NamedTuple):
@@ -28,7 +31,7 @@
     strategies.builds(
         Ask,
         strategies.floats(0, 0.2),
-        strategies.integers(0, INSTANCES - 1),
+        strategies.integers(0, max(SIZES) - 1),
         strategies.integers(1, 20),
         strategies.integers(0, 12),
     ),
@@ -36,41 +39,82 @@
 )
 
 
-def admitted_in(sequence: list[Ask]) -> list[float]:
-    """Returns the times at which tokens were given."""
-    own = parts.even_flow(QUOTA, INSTANCES, is_led=True)
-    pool = parts.pool_flow(QUOTA, covered=1)
-    buckets = [parts.Bucket(own.room, 0) for _ in range(INSTANCES)]
-    pooled = parts.Bucket(pool.room, 0)
+def domains_of(size: int) -> dict[str, list[str]]:
+    """Returns the names of so many instances by failure domain."""
+    names = [f'e{number:02}' for number in range(size)]
+    return {domain: names[place::3] for place, domain in enumerate('abc')}
+
+
+def admitted_in(
+    sequence: list[Ask], quota: parts.Quota = QUOTA, size: int = INSTANCES
+) -> list[float]:
+    """Returns the times at which tokens were given.
+
+    Who holds no even part asks a neighbour that does, then the pool.
+    """
+    domains = domains_of(size)
+    divided = division.divide('office', quota, domains)
+    flows = {
+        name: parts.even_flow(quota, share, is_led=True)
+        for name, share in divided.shares.items()
+    }
+    pool = parts.pool_flow(quota, covered=1)
+    buckets = {name: parts.Bucket(flow.room, 0) for name, flow in flows.items()}
+    buckets['pool'] = parts.Bucket(pool.room, 0)
+    flows['pool'] = pool
     now: float = 0
     given: list[float] = []
     for ask in sequence:
         now += ask.pause
+        domain = list(domains)[ask.instance % len(domains)]
+        near = divided.near[domain]
+        holder = near[ask.instance % len(near)]
         for _ in range(ask.requests):
-            taken = parts.take(buckets[ask.instance], own, parts.Need(), now)
-            buckets[ask.instance] = taken.bucket
-            if not taken.amount:
-                need = parts.Need(extra=ask.extra)
-                taken = parts.take(pooled, pool, need, now)
-                pooled = taken.bucket
-            given.extend(itertools.repeat(now, taken.amount))
+            for name, extra in ((holder, 0), ('pool', ask.extra)):
+                need = parts.Need(extra=extra)
+                taken = parts.take(buckets[name], flows[name], need, now)
+                buckets[name] = taken.bucket
+                given.extend(itertools.repeat(now, taken.amount))
+                if taken.amount:
+                    break
     return given
 
 
 class BoundTests(unittest.TestCase):
     """The sum over all instances."""
 
-    @hypothesis.given(asks)
+    @hypothesis.given(
+        asks,
+        strategies.sampled_from(SIZES),
+        strategies.sampled_from((1, 9, 40, 400)),
+    )
     @hypothesis.settings(max_examples=150, deadline=None)
-    def test_any_window(self, sequence: list[Ask]) -> None:
+    def test_any_window(
+        self, sequence: list[Ask], size: int, burst: int
+    ) -> None:
         """Any span gets its rate and burst, and the rounding, at most."""
-        given = admitted_in(sequence)
+        quota = parts.Quota(rate=burst, burst=burst)
+        given = admitted_in(sequence, quota, size)
         places = range(len(given))
         for begin, end in itertools.combinations(places, 2):
             span = given[end] - given[begin]
-            most = QUOTA.rate * span + QUOTA.burst + ROUNDING
+            most = quota.rate * span + quota.burst + ROUNDING
             self.assertLessEqual(end - begin + 1, most + 1e-6)
 
+    def test_small_quota_is_not_held_by_every_instance(self) -> None:
+        """Guards against a token saved up at each instance (review/4)."""
+        for size, burst in itertools.product(SIZES, (1, 9, 40, 400)):
+            with self.subTest(size=size, burst=burst):
+                quota = parts.Quota(rate=burst, burst=burst)
+                divided = division.divide('office', quota, domains_of(size))
+                self.assertAlmostEqual(sum(divided.shares.values()), 1)
+                for is_led, part in ((True, parts.EVEN_PART), (False, 1)):
+                    rooms = sum(
+                        parts.even_flow(quota, share, is_led=is_led).room
+                        for share in divided.shares.values()
+                    )
+                    self.assertLessEqual(rooms, max(burst * part, 3) + 1e-6)
+
 
 class ServiceTests(unittest.TestCase):
     """Requests within the rate are served."""
@@ -82,7 +126,7 @@
 
     def test_without_pool(self) -> None:
         """While there is a coordinator, own parts are nearly half the rate."""
-        own = parts.even_flow(QUOTA, INSTANCES, is_led=True)
+        own = parts.even_flow(QUOTA, 1 / INSTANCES, is_led=True)
         self.assertAlmostEqual(
             own.rate * INSTANCES, QUOTA.rate * parts.EVEN_PART
         )
@@ -145,8 +189,8 @@
         """Whoever hears of it, all flows add up to the rate and no more."""
         for cut in range(INSTANCES):
             led = INSTANCES - cut
-            own = parts.even_flow(QUOTA, INSTANCES, is_led=True)
-            alone = parts.even_flow(QUOTA, INSTANCES, is_led=False)
+            own = parts.even_flow(QUOTA, 1 / INSTANCES, is_led=True)
+            alone = parts.even_flow(QUOTA, 1 / INSTANCES, is_led=False)
             pool = parts.pool_flow(QUOTA, covered=led / INSTANCES)
             rate = own.rate * led + alone.rate * cut + pool.rate
             with self.subTest(cut=cut):
@@ -154,5 +198,5 @@
 
     def test_nobody_coordinates(self) -> None:
         """All instances together still have the whole rate."""
-        alone = parts.even_flow(QUOTA, INSTANCES, is_led=False)
+        alone = parts.even_flow(QUOTA, 1 / INSTANCES, is_led=False)
         self.assertAlmostEqual(alone.rate * INSTANCES, QUOTA.rate)
--- a/src/bilberryglade/_membership/fleet.py
+++ b/src/bilberryglade/_membership/fleet.py
@@ -74,6 +74,13 @@
             if member.name != self.own.name
         ]
 
+    def by_domain(self) -> dict[str, list[str]]:
+        """Returns the names of all members by failure domain."""
+        domains: dict[str, list[str]] = {}
+        for member in self.members.values():
+            domains.setdefault(member.failure_domain, []).append(member.name)
+        return domains
+
     def near(self) -> list[str]:
         """Returns the names of others in the own failure domain, in order."""
         return [
--- a/src/bilberryglade/_membership/tests/test_enrolment.py
+++ b/src/bilberryglade/_membership/tests/test_enrolment.py
@@ -84,7 +84,8 @@
         self,
     ) -> None:
         """Guards against whole quotas and budgets for each of several."""
-        self.store.service.faults.refused_topics.add(LIST)
+        faults = self.store.service.faults
+        faults.refused_topics.add(LIST)
         process = await self.start('b')
         self.assertEqual(set(process.members.members), {'a', 'b', 'c'})
         await asyncio.sleep(0.1)
--- a/src/bilberryglade/_ownership/tests/lease_explorer.py
+++ b/src/bilberryglade/_ownership/tests/lease_explorer.py
@@ -6,8 +6,6 @@
 """
 
 import asyncio
-import functools
-import gc
 import random
 import sys
 import typing
@@ -25,7 +23,6 @@
     owner_rules,
     virtual_time,
 )
-from bilberryglade._values import clock
 
 #: Modules whose import registers faults.
 REGISTERING_MODULES: typing.Final = (
@@ -63,30 +60,30 @@
     log_lines: list[str] = []
     errors: list[str] = []
     random.seed(seed)
-    if with_log_lines:
-        loguru.logger.enable('bilberryglade')
-        loguru.logger.remove()
-        loguru.logger.add(
-            lambda text: log_lines.append(f'{loop.time():8.3f} {text}'),
-            format='{extra} {message}',
-        )
-    else:
-        loguru.logger.disable('bilberryglade')
-    # Tasks of killed processes are dropped unfinished, so their complaints on
-    # deletion are ignored.
-    with (
-        mock.patch.object(clock, 'now', loop.clock),
-        mock.patch.object(sys, 'unraisablehook', lambda _: None),
-    ):
-        loop.set_exception_handler(functools.partial(_record_error, errors))
-        try:
-            run = loop.run_until_complete(_run_seed(seed, loop))
-        finally:
-            _close(loop)
+    run = virtual_time.run(
+        loop, _run_seed(seed, loop, log_lines, with_log_lines), errors
+    )
     return run._replace(log_lines=tuple(log_lines), errors=tuple(errors))
 
 
-async def _run_seed(seed: int, loop: virtual_time.VirtualLoop) -> SimulationRun:
+def _keep_lines(loop: virtual_time.VirtualLoop, log_lines: list[str]) -> None:
+    """Adds the lines of the instances to `log_lines` from now on."""
+    loguru.logger.enable('bilberryglade')
+    loguru.logger.remove()
+    loguru.logger.add(
+        lambda text: log_lines.append(f'{loop.time():8.3f} {text}'),
+        format='{extra} {message}',
+    )
+
+
+async def _run_seed(
+    seed: int,
+    loop: virtual_time.VirtualLoop,
+    log_lines: list[str],
+    with_log_lines: bool,
+) -> SimulationRun:
+    if with_log_lines:
+        _keep_lines(loop, log_lines)
     simulation = lease_simulation.Simulation(seed, loop)
     rng = simulation.rng
     planned = _plan_faults(rng)
@@ -134,24 +131,6 @@
     return (run for run in map(run_seed, seeds) if run.violations or run.errors)
 
 
-def _close(loop: virtual_time.VirtualLoop) -> None:
-    """Closes the loop and deletes the tasks that are left."""
-    loop.close()
-    gc.collect()
-    loguru.logger.enable('bilberryglade')
-
-
-def _record_error(
-    errors: list[str],
-    _: asyncio.AbstractEventLoop,
-    context: dict[str, typing.Any],
-) -> None:
-    """Records exceptions; ignores asyncio's messages on dropped tasks."""
-    error = context.get('exception')
-    if error is not None:
-        errors.append(repr(error))
-
-
 def main(arguments: abc.Sequence[str]) -> int:
     """Runs the seeds from the first to the last argument; returns the status."""
     first, last = int(arguments[0]), int(arguments[-1])
--- a/src/bilberryglade/_ownership/tests/lease_links.py
+++ b/src/bilberryglade/_ownership/tests/lease_links.py
@@ -22,6 +22,8 @@
 KEPT_CONNECTION_PROBABILITY: typing.Final = 0.7
 #: Interval of the checks whether a network cut has healed.
 CUT_CHECK_INTERVAL_SECONDS: typing.Final = 0.02
+#: Interval of the checks for news while a read of the store waits for them.
+POLL_CHECK_SECONDS: typing.Final = 0.02
 UNAVAILABLE_STATUS: typing.Final = 503
 #: A stray answer: only answers to requests, not to orders, have a request id.
 EXTRA_ANSWER: typing.Final = outcomes.Answered(
@@ -95,7 +97,11 @@
         """Sends a call to the store; see `sender.Sender.send`."""
         simulation = self.simulation
         faults = simulation.store_faults
-        if self.name in faults.refused_instances:
+        query = _query_of(call)
+        if (
+            self.name in faults.refused_instances
+            or query['topic'] in faults.refused_topics
+        ):
             await asyncio.sleep(simulation.network.transit())
             return outcomes.Answered(UNAVAILABLE_STATUS, (), b'')
         answer: asyncio.Future[outcomes.Outcome] = (
@@ -110,7 +116,10 @@
         )
         if is_lost and faults.max_late_seconds:
             delay += simulation.rng.uniform(1, faults.max_late_seconds)
-        simulation.call_later(delay, self._execute, call, answer, is_lost)
+        waits_until = simulation.now() + int(query.get('wait_ms', '0')) / 1000
+        simulation.call_later(
+            delay, self._execute, call, answer, is_lost, waits_until
+        )
         try:
             async with asyncio.timeout(call.seconds):
                 return await answer
@@ -122,10 +131,21 @@
         call: sender.Call,
         answer: 'asyncio.Future[outcomes.Outcome]',
         is_lost: bool,
+        waits_until: float,
     ) -> None:
         simulation = self.simulation
         is_cut = simulation.network.is_cut(self.name, 'store')
-        if is_cut or simulation.store_faults.is_unavailable:
+        if is_cut or simulation.store_faults.is_unavailable or answer.done():
+            return
+        if self._has_no_news(call) and simulation.now() < waits_until:
+            simulation.call_later(
+                POLL_CHECK_SECONDS,
+                self._execute,
+                call,
+                answer,
+                is_lost,
+                waits_until,
+            )
             return
         outcome = self._answer(call)
         if not is_lost:
@@ -133,9 +153,16 @@
                 simulation.network.transit(), _set_answer, answer, outcome
             )
 
+    def _has_no_news(self, call: sender.Call) -> bool:
+        query = _query_of(call)
+        if 'from' not in query:
+            return False
+        partition = self.simulation.model.partition(query)
+        return bool(partition.end <= int(query['from']))
+
     def _answer(self, call: sender.Call) -> outcomes.Outcome:
-        path, _, text = call.path.partition('?')
-        query = dict(urls.parse_qsl(text))
+        path = call.path.partition('?')[0]
+        query = _query_of(call)
         partition = self.simulation.model.partition(query)
         operation = path.rpartition('/')[2]
         if operation == 'log-append':
@@ -371,6 +398,10 @@
     return outcomes.Unknown(outcomes.Reason.answer_lost)
 
 
+def _query_of(call: sender.Call) -> dict[str, str]:
+    return dict(urls.parse_qsl(call.path.partition('?')[2]))
+
+
 def _set_answer(
     answer: 'asyncio.Future[outcomes.Outcome] | None',
     outcome: outcomes.Outcome,
--- a/src/bilberryglade/_ownership/tests/modelled_network.py
+++ b/src/bilberryglade/_ownership/tests/modelled_network.py
@@ -64,6 +64,8 @@
         self.max_late_seconds: float = 0
         #: Instances whose calls the store refuses.
         self.refused_instances: set[str] = set()
+        #: Topics whose partitions are down; their calls are refused.
+        self.refused_topics: set[str] = set()
 
 
 class OrderFaults:
--- a/src/bilberryglade/_ownership/tests/virtual_time.py
+++ b/src/bilberryglade/_ownership/tests/virtual_time.py
@@ -3,8 +3,18 @@
 import asyncio
 import collections
 import contextvars
+import functools
+import gc
+import sys
 import typing
 from collections import abc
+from unittest import mock
+
+import loguru
+
+from bilberryglade._values import clock
+
+Outcome = typing.TypeVar('Outcome')
 
 #: Simulated process whose code is running; None outside all of them.
 running_process: typing.Final[contextvars.ContextVar['Process | None']] = (
@@ -182,3 +192,45 @@
 
     def _write_to_self(self) -> None:
         """Does nothing: no other thread wakes the loop."""
+
+
+def run(
+    loop: VirtualLoop,
+    coroutine: abc.Coroutine[typing.Any, typing.Any, Outcome],
+    errors: list[str] | None = None,
+) -> Outcome:
+    """Runs a coroutine on virtual time and without log lines; closes the loop.
+
+    Exceptions that end other tasks are added to `errors`. Tasks that are left,
+    as those of killed processes, are dropped unfinished.
+    """
+    loguru.logger.disable('bilberryglade')
+    loop.set_exception_handler(
+        functools.partial(_record_error, [] if errors is None else errors)
+    )
+    with (
+        mock.patch.object(clock, 'now', loop.clock),
+        mock.patch.object(sys, 'unraisablehook', lambda _: None),
+    ):
+        try:
+            return loop.run_until_complete(coroutine)
+        finally:
+            _close(loop)
+
+
+def _close(loop: VirtualLoop) -> None:
+    """Closes the loop and deletes the tasks that are left."""
+    loop.close()
+    gc.collect()
+    loguru.logger.enable('bilberryglade')
+
+
+def _record_error(
+    errors: list[str],
+    _: asyncio.AbstractEventLoop,
+    context: dict[str, typing.Any],
+) -> None:
+    """Records exceptions; ignores asyncio's messages on dropped tasks."""
+    error = context.get('exception')
+    if error is not None:
+        errors.append(repr(error))
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -117,11 +117,12 @@
     needed: int
     extra: int
     is_late: NotRequired[bool]
+    from_part: NotRequired[bool]
 
 
 class QuotaGrant(TypedDict):
     """
-    The coordinator's answer; each token admits one request.
+    The answer of the coordinator or of a holder of an even part; each token admits one request.
     """
 
     kind: Literal['quota_grant']
