Own parts of quotas begin empty, and fill by what is certain

Callers would have seen an organisation above its quota after restarts: each process began with its whole part of the burst, also one that came after another had just spent it, and a part that grew (the coordinator fell silent) counted as if it had been large since the last request.

Change: an own part fills from the start of its process on. When what fills it has changed, the lower of both flows counts for the time before.

--- a/src/bilberryglade/_limits/desks.py
+++ b/src/bilberryglade/_limits/desks.py
@@ -60,6 +60,8 @@
         self.desks: dict[str, Desk] = {}
         self.asks: asks.Asks[messages.QuotaGrant] = asks.Asks()
         self.sequence = 0
+        #: Seconds since which even parts fill.
+        self.started_at = clock.now()
 
     async def admit(
         self,
@@ -127,7 +129,7 @@
         )
         desk = self.desks.get(holder.name)
         if desk is None:
-            desk = Desk(parts.Bucket(flow.room, now))
+            desk = Desk(parts.Bucket(0, self.started_at))
         taken = parts.take(desk.bucket, flow, need, now)
         self.desks[holder.name] = desk._replace(bucket=taken.bucket)
         return taken
--- a/src/bilberryglade/_limits/parts.py
+++ b/src/bilberryglade/_limits/parts.py
@@ -3,7 +3,8 @@
 The instances that hold an even part of the rate have it for good (`division`).
 The rest is a pool at the coordinator, from which tokens go to the instance that
 needs them. Tokens are subtracted before they are given; what is given and not
-spent is lost.
+spent is lost. Every bucket begins empty, since what a process before it had
+spent is not known.
 
 A holder that hears of no coordinator takes its share of the pool for itself. The
 pool is short of the shares of all holders that have not said lately that they
@@ -100,8 +101,7 @@
     so that nobody's reserve starves another's need. While tokens are scarce,
     requests that are late already leave them to those that are not.
     """
-    elapsed = max(now - bucket.filled_at, 0)
-    level = min(bucket.level + elapsed * flow.rate, flow.room)
+    level = _filled(bucket, flow, now)
     reserve = min(LATE_RESERVE, flow.room - 1) if need.is_late else 0
     amount = min(need.tokens, max(int(level - reserve), 0))
     spare = int(level - amount - flow.room / 2)
@@ -118,3 +118,14 @@
 def give_back(bucket: Bucket) -> Bucket:
     """Returns a token whose request reached no target."""
     return bucket._replace(level=bucket.level + 1)
+
+
+def _filled(bucket: Bucket, flow: Flow, now: float) -> float:
+    """Returns the tokens in a bucket at `now`.
+
+    Since when a new flow fills it is not known: until now the lower one counts.
+    """
+    before = bucket.flow or flow
+    elapsed = max(now - bucket.filled_at, 0)
+    gained = elapsed * min(before.rate, flow.rate)
+    return min(bucket.level + gained, before.room, flow.room)
--- a/src/bilberryglade/_limits/tests/test_parts.py
+++ b/src/bilberryglade/_limits/tests/test_parts.py
@@ -149,6 +149,19 @@
         self.assertEqual(again.amount, 1)
 
 
+class FillTests(unittest.TestCase):
+    """What a bucket holds when what fills it has changed."""
+
+    def test_new_flow_fills_from_when_it_is_known(self) -> None:
+        """Guards against a whole share for a time in which it was a part."""
+        small, large = parts.Flow(1, 2), parts.Flow(10, 20)
+        for before, after, level in ((small, large, 2), (large, small, 2)):
+            with self.subTest(before=before):
+                bucket = parts.Bucket(0, 0, before)
+                taken = parts.take(bucket, after, parts.Need(0), 100)
+                self.assertEqual(taken.bucket.level, level)
+
+
 class LateTests(unittest.TestCase):
     """Callers who came back after a refusal, and are late already."""
 
