A process does not begin with a whole reserve of retries

Change: a process's part of the reserve grows over the window in which retries are counted.

The test of moved keys runs on an instance that has been up for a window, as the retry after a refusal of the old owner takes a token too.

--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -113,6 +113,7 @@
         #: Random start of the split of each route, so that instances with few
         #: requests each do not all begin with the same service.
         self.split_offset = random.random()
+        self.started_at = clock.now()
         #: Monotonic seconds at which a planned stop ends every request.
         self.ends_at = float('inf')
         #: Called once for each request with a key: its service and the key.
@@ -187,13 +188,11 @@
         split = splitting.choose(turns)
         self.turns[route.name] = split.turns
         service = split.service
-        current_budget = self.retry_budgets.get(
-            service
-        ) or retry_budget.full_budget(
-            self.own_site.bounds, self.instance_count()
-        )
         self.retry_budgets[service] = retry_budget.after_request(
-            current_budget, self.own_site.bounds, self.instance_count()
+            self.retry_budgets.get(service, retry_budget.RetryBudget()),
+            self.own_site.bounds,
+            self.instance_count(),
+            clock.now() - self.started_at,
         )
         return Job(
             request=request,
--- a/src/bilberryglade/_delivery/tests/test_router.py
+++ b/src/bilberryglade/_delivery/tests/test_router.py
@@ -164,6 +164,7 @@
             lambda: 1,
             mock.Mock(is_quarantined=lambda _: False),
         )
+        request_router.started_at -= BOUNDS.retry_window
         started_at = clock.now()
         request = samples.incoming(arrived_at=started_at)
         delivery = await request_router.serve(request)
@@ -180,9 +181,11 @@
     def retries_of(self, requests: int, instances: int) -> int:
         """Returns how many retries one instance may make, at most."""
         retries = 0
-        remaining = retry_budget.full_budget(BOUNDS, instances)
+        remaining = retry_budget.RetryBudget()
         for _ in range(requests):
-            remaining = retry_budget.after_request(remaining, BOUNDS, instances)
+            remaining = retry_budget.after_request(
+                remaining, BOUNDS, instances, BOUNDS.retry_window
+            )
             reduced = retry_budget.after_retry(remaining)
             if reduced is not None:
                 remaining = reduced
