A late request takes no token where there is no room for one

Lines of a trial showed own parts with a level of -1 at instances that hold none.

Cause: late requests leave a reserve of one token to those in time, and of a bucket with less room than that the reserve came out below nothing, so a token was given that did not exist, once at each instance.

Tests: a bucket without room gives nothing to a late request (failed before); the exploration sends late requests too.

--- a/src/bilberryglade/_limits/parts.py
+++ b/src/bilberryglade/_limits/parts.py
@@ -102,7 +102,7 @@
     requests that are late already leave them to those that are not.
     """
     level = _filled(bucket, flow, now)
-    reserve = min(LATE_RESERVE, flow.room - 1) if need.is_late else 0
+    reserve = max(min(LATE_RESERVE, flow.room - 1), 0) if need.is_late else 0
     amount = min(need.tokens, max(int(level - reserve), 0))
     spare = int(level - amount - flow.room / 2)
     if amount == need.tokens:
--- a/src/bilberryglade/_limits/tests/quota_simulation.py
+++ b/src/bilberryglade/_limits/tests/quota_simulation.py
@@ -148,8 +148,9 @@
             handler.handle(self, message)
 
     async def serve(self, run: Run) -> None:
-        """Takes a request of an organisation."""
-        wait = await self.desks.admit(run.holder, is_late=False)
+        """Takes a request of an organisation, maybe of one who came back."""
+        is_late = self.simulation.rng.choice((False, True))
+        wait = await self.desks.admit(run.holder, is_late=is_late)
         outcome = run.admitted if wait is None else run.refused
         outcome.append(self.simulation.now())
 
--- a/src/bilberryglade/_limits/tests/test_parts.py
+++ b/src/bilberryglade/_limits/tests/test_parts.py
@@ -187,6 +187,17 @@
         in_time, late = self.admitted(parts.Flow(200, 50), 1000)
         self.assertEqual((in_time, late), (500, 500))
 
+    def test_a_bucket_without_room(self) -> None:
+        """Guards against tokens that a reserve below nothing would make."""
+        for room in (0, 0.5):
+            taken = parts.take(
+                parts.Bucket(room, 0),
+                parts.Flow(0, room),
+                parts.Need(is_late=True),
+                0,
+            )
+            self.assertEqual(taken.amount, 0)
+
     def test_a_bucket_of_one_token(self) -> None:
         """Nobody is left out for good where no reserve can be saved up."""
         taken = parts.take(
