--- a/src/bilberryglade/_delivery/crash_evidence.py
+++ b/src/bilberryglade/_delivery/crash_evidence.py
@@ -138,21 +138,25 @@
         Returns the requests that others suspect and this instance knows to be
         cleared, with the lives of whose crashes.
         """
-        disputed: dict[str, frozenset[str]] = {}
+        left = {
+            digest: suspicion.targets - self.cleared.get(digest, frozenset())
+            for digest, suspicion in told.items()
+        }
         suspects: dict[str, set[str]] = {}
-        for digest, suspicion in told.items():
-            cleared = self.cleared.get(digest, frozenset())
-            targets = suspicion.targets - cleared
-            if targets != suspicion.targets:
-                disputed[digest] = cleared
-            if suspicion.is_blamed and len(targets) >= QUARANTINE_CRASHES:
+        for digest, targets in left.items():
+            is_blamed = told[digest].is_blamed
+            if is_blamed and len(targets) >= QUARANTINE_CRASHES:
                 self._blame(digest, targets, now)
-                continue
-            for target in targets:
-                suspects.setdefault(target, set()).add(digest)
+            elif digest not in self.blamed:
+                for target in targets:
+                    suspects.setdefault(target, set()).add(digest)
         for target, digests in sorted(suspects.items()):
-            self._suspect(target, frozenset(digests - self.blamed.keys()), now)
-        return disputed
+            self._suspect(target, frozenset(digests), now)
+        return {
+            digest: self.cleared[digest]
+            for digest, targets in left.items()
+            if targets != told[digest].targets
+        }
 
     def targets_of(self, digest: str) -> frozenset[str]:
         """Returns the lives that crashed while they ran a request."""
