--- a/src/bilberryglade/_limits/desks.py
+++ b/src/bilberryglade/_limits/desks.py
@@ -122,14 +122,14 @@
     ) -> parts.Taken:
         """Takes tokens of the own even part."""
         now = clock.now()
-        flow = parts.even_flow(
-            parts.Quota(holder.rate, holder.burst),
-            self._division(holder).shares.get(self.members.own.name, 0),
-            is_led=self.lease.is_heard,
-        )
+        quota = parts.Quota(holder.rate, holder.burst)
+        shares = self._division(holder).shares
+        share = shares.get(self.members.own.name, 0)
+        flow = parts.even_flow(quota, share, is_led=self.lease.is_heard)
         desk = self.desks.get(holder.name)
         if desk is None:
-            desk = Desk(parts.Bucket(0, self.started_at))
+            bucket = parts.first_bucket(quota, share, self.started_at)
+            desk = Desk(bucket)
         taken = parts.take(desk.bucket, flow, need, now)
         self.desks[holder.name] = desk._replace(bucket=taken.bucket)
         return taken
--- a/src/bilberryglade/_limits/parts.py
+++ b/src/bilberryglade/_limits/parts.py
@@ -3,8 +3,8 @@
 The instances that hold an even part of the rate have it for good (`division`).
 The rest is a pool at the coordinator, from which tokens go to the instance that
 needs them. Tokens are subtracted before they are given; what is given and not
-spent is lost. Every bucket begins empty, since what a process before it had
-spent is not known.
+spent is lost. What a process before it had spent is not known, so a pool begins
+empty, and an own part with what flowed to nobody while no process of it ran.
 
 A holder that hears of no coordinator takes its share of the pool for itself. The
 pool is short of the shares of all holders that have not said lately that they
@@ -19,6 +19,8 @@
 #: which its part of the pool is kept back: by then it still takes itself for
 #: led, also if the sign of life before the last one was the last that it heard.
 COVERED_SECONDS: typing.Final = 0.85
+#: Least time, in seconds, from the end of a process to the start of the next one.
+RESTART_SECONDS: typing.Final = 0.45
 #: Tokens that a holder and the pool can always save up: a failure domain has one
 #: holder at least.
 LEAST_ROOM: typing.Final = 1.0
@@ -71,6 +73,11 @@
     return Flow(quota.rate * part, max(quota.burst * part, LEAST_ROOM))
 
 
+def first_bucket(quota: Quota, share: float, started_at: float) -> Bucket:
+    """Returns the own part of a process that started at `started_at`."""
+    return Bucket(quota.rate * share * RESTART_SECONDS, started_at)
+
+
 def pool_flow(quota: Quota, covered: float) -> Flow:
     """Returns what fills the pool at the coordinator.
 
