A request's line tells its sends apart, and what follows a refusal is told

Of a 503 the lines could not tell whether the instance or a target had refused, nor by which send and over which connection. Each send now has its target and life, the number and earlier uses of its connection, the status and what the outcome rests on. Bytes that come after a whole answer have a line with the connection's number: at the next use, and a second after a refusal. `explain` finds them by the connection.

--- a/src/bilberryglade/_delivery/request_sender.py
+++ b/src/bilberryglade/_delivery/request_sender.py
@@ -119,7 +119,7 @@
         """
         started_at = clock.now()
         self._record_start(target, started_at)
-        request.progress.begin_send()
+        request.progress.begin_send(str(directory.life_of(target)))
         if not admitted.route.repeatable:
             self.in_flight_unrepeatable.add(request.request_id)
         finished = send_results.FinishedSend(send_results.SendResult.abandoned)
@@ -128,6 +128,7 @@
                 request, admitted, target, seconds
             )
             finished = _finished_send(exchange_result, clock.now() - started_at)
+            request.progress.end_send(_text_of(exchange_result.outcome))
         finally:
             self.in_flight_unrepeatable.discard(request.request_id)
             self._record_end(target, finished, permit)
@@ -214,6 +215,13 @@
         return higher_scores < warming_count
 
 
+def _text_of(outcome: outcomes.Outcome) -> str:
+    """Returns an outcome as lines name it."""
+    if isinstance(outcome, outcomes.Answered):
+        return type(outcome).__name__
+    return f'{type(outcome).__name__} {outcome.reason}'
+
+
 def _finished_send(
     exchange_result: ExchangeResult, seconds: float
 ) -> send_results.FinishedSend:
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -13,7 +13,7 @@
 from bilberryglade._ownership import order_log, table_manager
 from bilberryglade._peers import network
 from bilberryglade._routing import admission
-from bilberryglade._values import clock, outcomes
+from bilberryglade._values import clock, outcomes, request_progress
 
 BUCKETS: typing.Final = (
     0.01,
@@ -175,6 +175,7 @@
             service=delivered.service,
             key=request.routing_key,
             targets=delivered.targets,
+            sends=[_described(send) for send in request.progress.sends],
             owner=delivered.owner,
             outcome=kind,
             reason=reason,
@@ -210,6 +211,19 @@
         return prometheus_client.generate_latest(self.registry)
 
 
+def _described(send: request_progress.Send) -> dict[str, object]:
+    """Returns a send as a line shows it; connection 0: no byte went out."""
+    return {
+        'target': send.target,
+        'connection': send.carrier.connection,
+        'earlier_uses': send.carrier.earlier_uses,
+        'status': send.status,
+        'outcome': send.outcome,
+        'evidence': send.evidence,
+        'ms': send.milliseconds,
+    }
+
+
 def _since(began: float, moment: float | None) -> int | None:
     """Returns the milliseconds from `began` to a moment, if there was one."""
     return None if moment is None else int((moment - began) * MILLISECONDS)
--- a/src/bilberryglade/_observability/histories.py
+++ b/src/bilberryglade/_observability/histories.py
@@ -127,6 +127,20 @@
     ]
 
 
+@findings.register('connection')
+def find_connections(request: Line, lines: Lines) -> list[Line]:
+    """Finds what came on its connections that belongs to another exchange."""
+    sends = request.fields.get('sends', ())
+    numbers = {send['connection'] for send in sends if send['connection']}
+    return [
+        line
+        for line in lines
+        if line.instance == request.instance
+        and line.fields.get('connection') in numbers
+        and abs((line.time - request.time).total_seconds()) < NEAR_SECONDS
+    ]
+
+
 @findings.register('at the same target')
 def find_neighbours(request: Line, lines: Lines) -> list[Line]:
     """Finds the requests that its last target had beside it."""
--- a/src/bilberryglade/_observability/tests/test_histories.py
+++ b/src/bilberryglade/_observability/tests/test_histories.py
@@ -50,7 +50,12 @@
     line('06.000', 'store gives no answer: targets, refused'),
     request('08.150', 'beside', instance='e2'),
     request('08.000', 'before', instance='e2'),
-    request('08.200', 'wanted', ms=90),
+    request(
+        '08.200', 'wanted', ms=90, sends=[{'connection': 3}, {'connection': 0}]
+    ),
+    line('08.300', 'bytes after a whole answer', connection=3),
+    line('08.300', 'bytes after a whole answer', 'e2', connection=3),
+    line('08.300', 'bytes after a whole answer', connection=4),
     request('08.250', 'elsewhere', targets=['t2']),
     line('08.900', 'grant of 0-49 at t1 not confirmed: unclear', 'e3'),
     line('30.000', 'grant of 0-49 at t1 not confirmed: unclear', 'e3'),
@@ -82,6 +87,7 @@
                 ('dependency', 'store gives no answer: targets, refused'),
                 ('at the same target', 'beside'),
                 ('request', 'wanted'),
+                ('connection', 'bytes after a whole answer'),
                 ('target', 'grant of 0-49 at t1 not confirmed: unclear'),
             ],
         )
--- a/src/bilberryglade/_observability/tests/test_pace.py
+++ b/src/bilberryglade/_observability/tests/test_pace.py
@@ -1,13 +1,12 @@
 """Lines on a late loop and on what goes to other instances."""
 
-import typing
 import unittest
 from unittest import mock
 
-import loguru
 import prometheus_client
 
 from bilberryglade._observability import pace, peer_traffic
+from bilberryglade._observability.tests import recording
 from bilberryglade._peers import network
 
 
@@ -16,11 +15,7 @@
 
     def setUp(self) -> None:
         """Has no line."""
-        self.lines: list[dict[str, typing.Any]] = []
-        number = loguru.logger.add(
-            lambda message: self.lines.append(message.record['extra'])
-        )
-        self.addCleanup(loguru.logger.remove, number)
+        self.lines = recording.record(self)
 
 
 class PaceTests(LinesCase):
@@ -31,7 +26,8 @@
         taken = pace.Pace(prometheus_client.CollectorRegistry())
         for late_seconds, now in ((0.01, 1), (0.7, 2), (0.9, 2.5), (1.4, 3.1)):
             taken.take(late_seconds, now)
-        self.assertEqual(self.lines, [{'ms': 700}, {'ms': 1400}])
+        told = [line.fields for line in self.lines]
+        self.assertEqual(told, [{'ms': 700}, {'ms': 1400}])
         self.assertEqual(taken.late_seconds, 1.4)
 
 
@@ -46,5 +42,5 @@
         peers.sent_kinds['relay'] = network.Sent(1, 9000)
         traffic.tell(1)
         traffic.tell(6)
-        told = [line['bytes'] for line in self.lines]
+        told = [line.fields['bytes'] for line in self.lines]
         self.assertEqual(told, [{'lead': 300}, {'relay': 9000}])
--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -1,6 +1,8 @@
 """Connections to targets that are reused only after a call's own answer."""
 
+import asyncio
 import contextvars
+import itertools
 import select
 import socket
 import struct
@@ -9,6 +11,7 @@
 from urllib import parse as urls
 
 import aiosonic
+import loguru
 from aiosonic import connection, connectors, exceptions, pools
 
 from bilberryglade._http import resolver, sockets
@@ -19,6 +22,12 @@
 IDLE_MS: typing.Final = 2000
 #: Sent bytes that are not acknowledged for so long end a connection.
 SILENT_MS: typing.Final = 3000
+#: Seconds after a refusal for which its connection is watched for more bytes.
+FOLLOW_SECONDS: typing.Final = 1.0
+#: Of bytes that belong to no exchange so many are told, at most.
+FOLLOWING_BYTES: typing.Final = 120
+#: Statuses that may say that a request has not run.
+REFUSING_STATUSES: typing.Final = frozenset((400, 421, 429, 503))
 #: Longest head of an answer, and longest chunk of a body, in bytes: what is
 #: longer is held in memory until it ends, and may have no end.
 MOST_HEAD_BYTES: typing.Final = 65_536
@@ -67,19 +76,25 @@
         self.request = request
         #: The stream that carries the request; None before the first byte.
         self.writer: object = None
+        self.carrier = request_progress.Carrier()
 
     @property
     def is_sent(self) -> bool:
         """Whether any byte of the request was handed to a socket."""
         return self.writer is not None
 
+    @property
+    def call_name(self) -> str:
+        """What answers to it bear and no others; '' if nothing."""
+        return self.marked.echoed.text if self.marked.echoed else ''
+
     @property
     def is_wanted(self) -> bool:
         """Whether nobody has left who waits for the answer."""
         return self.request is None or not self.request.has_left()
 
-    def begin(self, writer: object) -> None:
-        """Takes the stream that gets the next bytes.
+    def begin(self, writer: object, carrier: request_progress.Carrier) -> None:
+        """Takes the stream that gets the next bytes, and what it belongs to.
 
         Raises an error if another one got the first, or if the first would
         come too late or for nobody.
@@ -93,10 +108,13 @@
         if not self.is_wanted:
             raise UnwantedError
         if self.request is not None:
-            self.request.note_sent()
+            self.request.note_sent(carrier)
+        self.carrier = carrier
         self.writer = writer
 
 
+#: Numbers of the connections of this process.
+numbers: typing.Final = itertools.count(1)
 current: typing.Final[contextvars.ContextVar[Exchange | None]] = (
     contextvars.ContextVar('current', default=None)
 )
@@ -112,6 +130,10 @@
     def __init__(self, pool: pools.BasePool) -> None:
         """Starts without a connection."""
         super().__init__(pool)
+        #: Changes with each stream that is opened.
+        self.carrier = request_progress.Carrier()
+        #: What answers to the last exchange bear; '' if nothing.
+        self.last_call = ''
         self.reads_headers = False
         #: Bytes of the head, and of the trailers, that are being read.
         self.head_size = 0
@@ -137,10 +159,13 @@
         """Refuses a connection that was closed or holds unread bytes."""
         if self.reader is None or self.reader.at_eof():
             return False
-        if self.reader._buffer:  # noqa: WPS437
+        if not super().reuse(urlparsed, verify):
             return False
-        is_fit = bool(super().reuse(urlparsed, verify))
-        return is_fit and not self._has_news()
+        if not self._has_unread() and not self._has_news():
+            return True
+        if self._has_unread() or not sockets.has_ended(self._socket()):
+            self._tell_what_follows()
+        return False
 
     async def connect(
         self,
@@ -157,7 +182,8 @@
         """Writes for the current exchange, over one connection only."""
         exchange = current.get()
         if exchange is not None:
-            exchange.begin(self.writer)
+            exchange.begin(self.writer, self.carrier)
+            self.last_call = exchange.call_name
         super().write(data)
 
     async def readuntil(self, separator: bytes = b'\n') -> bytes:
@@ -205,12 +231,43 @@
         is_empty = not self.reads_headers and self.framing == EMPTY_BODY
         if not self.blocked and not is_empty:
             self.close()
+        uses = self.carrier.earlier_uses + 1
+        self.carrier = self.carrier._replace(earlier_uses=uses)
+        is_refused = _status_of(self.status_line) in REFUSING_STATUSES
+        if is_refused and self.reader is not None:
+            asyncio.get_running_loop().call_later(
+                FOLLOW_SECONDS, self._look_after, self.carrier
+            )
         super().release()
 
+    def _look_after(self, carrier: request_progress.Carrier) -> None:
+        """Tells of bytes after a refusal, unless another exchange read on."""
+        if self.reader is None or self.carrier != carrier:
+            return
+        if self._has_unread():
+            self._tell_what_follows()
+
+    def _tell_what_follows(self) -> None:
+        """Writes a line on what came after the last whole answer."""
+        unread = self.reader._buffer if self.reader else b''  # noqa: WPS437
+        loguru.logger.bind(
+            connection=self.carrier.connection,
+            uses=self.carrier.earlier_uses,
+            call=self.last_call,
+            beginning=bytes(unread[:FOLLOWING_BYTES]).decode('latin-1'),
+        ).warning('bytes after a whole answer')
+
+    def _has_unread(self) -> bool:
+        """Tells whether the loop has read bytes that no exchange took."""
+        return bool(self.reader and self.reader._buffer)  # noqa: WPS437
+
     def _has_news(self) -> bool:
         """Tells whether bytes or an end have come that the loop hasn't read."""
-        raw = self.writer.get_extra_info('socket')
-        return bool(sockets.events_on(raw, select.POLLIN))
+        return bool(sockets.events_on(self._socket(), select.POLLIN))
+
+    def _socket(self) -> sockets.HasDescriptor:
+        raw: sockets.HasDescriptor = self.writer.get_extra_info('socket')
+        return raw
 
     def _check_marks(self) -> None:
         """Closes the connection if the answer belongs to another call.
@@ -225,7 +282,8 @@
         if marks.are_own(exchange.marked, status, headers):
             return
         self.close()
-        raise ForeignAnswerError
+        beginning = b''.join((self.status_line, *self.head))
+        raise ForeignAnswerError(beginning[:FOLLOWING_BYTES].decode('latin-1'))
 
     def _take_header(self, line: bytes) -> None:
         """Takes in a line of a head or of trailers, or its end."""
@@ -255,6 +313,7 @@
         the usual way they would still arrive when the partition heals.
         """
         await super()._connection_made()
+        self.carrier = request_progress.Carrier(next(numbers))
         raw = self.writer.get_extra_info('socket')
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
@@ -274,7 +333,8 @@
 
 def _status_of(line: bytes) -> int:
     """Returns the status in a line that the library took in, 0 if odd."""
-    status = line.split(b' ', 2)[1].strip()
+    _, _, rest = line.partition(b' ')
+    status = rest.partition(b' ')[0].strip()
     return int(status) if status.isdigit() else 0
 
 
--- a/src/bilberryglade/_targets/sender.py
+++ b/src/bilberryglade/_targets/sender.py
@@ -114,7 +114,7 @@
             )
             return await self._outcome(call.method, response, deadline)
         except BROKEN_EXCHANGE as failure:
-            _note_foreign(call, failure)
+            _note_foreign(call, exchange, failure)
             if exchange.is_sent:
                 return outcomes.Unknown(_lost_reason(failure))
             return outcomes.NotRun(_unsent_reason(failure))
@@ -158,11 +158,18 @@
     return outcomes.Reason.target_unreachable
 
 
-def _note_foreign(call: Call, failure: BaseException) -> None:
+def _note_foreign(
+    call: Call,
+    exchange: connections.Exchange,
+    failure: BaseException,
+) -> None:
     if isinstance(failure, connections.ForeignAnswerError):
-        loguru.logger.warning(
-            'answer of {} belongs to another call', call.address
-        )
+        loguru.logger.bind(
+            connection=exchange.carrier.connection,
+            uses=exchange.carrier.earlier_uses,
+            call=exchange.call_name,
+            beginning=str(failure),
+        ).warning('answer of {} belongs to another call', call.address)
 
 
 def _timeouts(seconds: float) -> timeout.Timeouts:
--- a/src/bilberryglade/platform/exchange.py
+++ b/src/bilberryglade/platform/exchange.py
@@ -1,5 +1,6 @@
 """One request to a target as the platform's protocol has it."""
 
+import enum
 import re
 import typing
 from collections import abc
@@ -60,6 +61,7 @@
         if not isinstance(outcome, outcomes.Answered):
             return request_sender.ExchangeResult(outcome)
         understanding = understood(request.request_id, outcome)
+        request.progress.note_answer(outcome.status, understanding.evidence)
         if understanding.odd_header:
             name = understanding.odd_header
             self.odd_headers[name] = self.odd_headers.get(name, 0) + 1
@@ -71,10 +73,23 @@
     return marks.Marks(outcomes.Header(headers.REQUEST_ID, request_id))
 
 
+class Evidence(enum.StrEnum):
+    """What the meaning of an answer rests on."""
+
+    foreign_id = 'id of another request'
+    misdirected = 'status 421'
+    refusal = 'x-not-executed'
+    signature = 'signature'
+    no_signature = 'no signature'
+    encoded = 'encoded body'
+    bare_promise = 'a refusing status without x-not-executed'
+
+
 class Understanding(typing.NamedTuple):
     """What a target's answer means."""
 
     exchange: request_sender.ExchangeResult
+    evidence: Evidence
     #: Name of a header of which nothing can be made; '' if there is none.
     odd_header: str = ''
 
@@ -97,12 +112,14 @@
         return Understanding(
             request_sender.ExchangeResult(
                 outcomes.Unknown(outcomes.Reason.answer_lost)
-            )
+            ),
+            Evidence.foreign_id,
         )
-    exchange = _meaning(answer)
+    evidence = _evidence(answer)
+    exchange = _meaning(answer, evidence)
     if exchange.is_misdirected:
         # Another target may have this address now; what it says is its own.
-        return Understanding(exchange)
+        return Understanding(exchange, evidence)
     hold = Hold(0)
     if answer.status == FULL_STATUS:
         hold = hold_of(headers.all_of(answer.headers, headers.RETRY_AFTER))
@@ -111,6 +128,7 @@
         exchange._replace(
             is_leaving=LEAVING_TEXT in told, hold_seconds=hold.seconds
         ),
+        evidence,
         headers.RETRY_AFTER if hold.is_odd else '',
     )
 
@@ -126,29 +144,44 @@
     return Hold(longest, is_odd=len(seconds) < len(texts))
 
 
-def _meaning(answer: outcomes.Answered) -> request_sender.ExchangeResult:
-    """Returns what an answer to the request says of it and of the load.
+def _evidence(answer: outcomes.Answered) -> Evidence:
+    """Returns what decides the meaning of an answer with the request's id.
 
     A success without the target's mark or with an encoded body is no answer, nor
     is a status that would promise callers what the target did not say.
     """
-    report = report_of(headers.find(answer.headers, headers.LOAD))
     if answer.status == MISDIRECTED_STATUS:
+        return Evidence.misdirected
+    if headers.find(answer.headers, headers.NOT_RUN):
+        return Evidence.refusal
+    if not headers.find(answer.headers, headers.SIGNATURE):
+        return Evidence.no_signature
+    if headers.find(answer.headers, headers.CONTENT_ENCODING):
+        return Evidence.encoded
+    if answer.status in PROMISING_STATUSES:
+        return Evidence.bare_promise
+    return Evidence.signature
+
+
+def _meaning(
+    answer: outcomes.Answered, evidence: Evidence
+) -> request_sender.ExchangeResult:
+    """Returns what an answer says of the request and of the target's load."""
+    report = report_of(headers.find(answer.headers, headers.LOAD))
+    if evidence is Evidence.misdirected:
         refused = outcomes.NotRun(outcomes.Reason.not_owner)
         return request_sender.ExchangeResult(
             refused, report, is_misdirected=True
         )
-    if headers.find(answer.headers, headers.NOT_RUN):
+    if evidence is Evidence.refusal:
         refused = outcomes.NotRun(outcomes.Reason.target_refused)
         is_shed = answer.status == FULL_STATUS
         return request_sender.ExchangeResult(refused, report, is_shed=is_shed)
-    is_marked = bool(headers.find(answer.headers, headers.SIGNATURE))
-    is_encoded = bool(headers.find(answer.headers, headers.CONTENT_ENCODING))
-    if not is_marked or is_encoded or answer.status in PROMISING_STATUSES:
-        return request_sender.ExchangeResult(
-            outcomes.Unknown(outcomes.Reason.answer_lost), report
-        )
-    return request_sender.ExchangeResult(answer, report)
+    if evidence is Evidence.signature:
+        return request_sender.ExchangeResult(answer, report)
+    return request_sender.ExchangeResult(
+        outcomes.Unknown(outcomes.Reason.answer_lost), report
+    )
 
 
 def report_of(text: str) -> standing.Report | None:
--- a/src/bilberryglade/platform/tests/test_foreign_answers.py
+++ b/src/bilberryglade/platform/tests/test_foreign_answers.py
@@ -5,6 +5,7 @@
 import unittest
 
 from bilberryglade._delivery import request_sender
+from bilberryglade._observability.tests import recording
 from bilberryglade._routing import admission, catalogue
 from bilberryglade._routing.tests import samples as requests
 from bilberryglade._targets import sender
@@ -177,6 +178,33 @@
                 self.assertEqual(second.status, 502)
                 self.assertEqual(len(target.seen), 2)
 
+    async def test_line_of_a_refusal_names_its_evidence(self) -> None:
+        """Refusals of a target and of the instance can be told apart."""
+        lines = recording.record(self)
+        target = raw_target.RawTarget(_refuse_twice)
+        self.addAsyncCleanup(target.stop)
+        world = await self.start_with(await target.start())
+        for path, status in (('/claims/1', 503), ('/nowhere', 404)):
+            self.assertEqual((await world.ask(path)).status, status)
+        await world.until(
+            lambda: 'bytes after a whole answer' in _events(lines)
+        )
+        by_target, by_instance = (
+            line.fields for line in lines if line.event == 'request'
+        )
+        self.assertEqual(by_instance['sends'], [])
+        self.assertEqual(len(by_target['sends']), 1)
+        send = by_target['sends'][0]
+        self.assertEqual(send['target'], 'c1/1')
+        self.assertEqual(send['status'], 503)
+        self.assertEqual(send['evidence'], 'x-not-executed')
+        self.assertEqual(send['outcome'], 'NotRun target_refused')
+        self.assertEqual(send['earlier_uses'], 0)
+        follows = lines[_events(lines).index('bytes after a whole answer')]
+        self.assertEqual(follows.fields['connection'], send['connection'])
+        self.assertEqual(follows.fields['call'], by_target['request'])
+        self.assertIn('503', follows.fields['beginning'])
+
     async def start_with(self, address: str) -> deployment.Deployment:
         """Starts an instance; its one target of claims is at `address`."""
         world = deployment.Deployment()
@@ -196,6 +224,23 @@
     return listed['c1'].address == address
 
 
+def _events(lines: list[recording.Recorded]) -> list[str]:
+    return [line.event for line in lines]
+
+
+async def _refuse_twice(
+    target: raw_target.RawTarget,
+    writer: asyncio.StreamWriter,
+    _: int,
+) -> bool:
+    """Refuses a request, and once more a moment later."""
+    refusal = written(REFUSED['shed'], id_of(target.seen[-1]))
+    writer.write(refusal)
+    await asyncio.sleep(0.02)
+    writer.write(refusal)
+    return True
+
+
 def _answer_twice(pause: float) -> raw_target.Behaviour:
     """Returns a behaviour that answers, and once more after seconds."""
 
