--- a/src/bilberryglade/platform/tests/test_foreign_answers.py
+++ b/src/bilberryglade/platform/tests/test_foreign_answers.py
@@ -88,8 +88,44 @@
         return True
 
 
-class ForeignAnswerTests(unittest.IsolatedAsyncioTestCase):
-    """A target writes an earlier answer once more on a kept connection."""
+class RefusedThenRun:
+    """Refuses the first send, again while the second one runs."""
+
+    def __init__(self, refusal: bytes, answers_late: bool) -> None:
+        """Refuses by `refusal`: status line and headers.
+
+        `answers_late` says that the answer of the second send comes after the
+        caller has given up.
+        """
+        self.refusal = refusal
+        self.answers_late = answers_late
+        self.runs = 0
+
+    async def __call__(
+        self,
+        target: raw_target.RawTarget,
+        writer: asyncio.StreamWriter,
+        number: int,
+    ) -> bool:
+        """Answers one send."""
+        own = id_of(target.seen[-1])
+        refusal = written(self.refusal, own)
+        if number == 1:
+            writer.write(refusal)
+            self.first_writer = writer
+            return True
+        self.runs += 1
+        # The copy belongs to the first send, on its connection.
+        self.first_writer.write(refusal)
+        await asyncio.sleep(0.05)
+        if self.answers_late:
+            await target.release.wait()
+        writer.write(success(own))
+        return True
+
+
+class ForeignAnswerCase(unittest.IsolatedAsyncioTestCase):
+    """One target, and what sends requests that may run once to it."""
 
     async def start(self, behaviour: raw_target.Behaviour) -> None:
         """Starts a target and what sends to it."""
@@ -100,15 +136,21 @@
         self.addAsyncCleanup(self.http.close)
         self.send_on = exchange.TargetExchange(self.http)
 
-    async def send(self, number: int) -> request_sender.ExchangeResult:
+    async def send(
+        self, number: int, seconds: float = SECONDS
+    ) -> request_sender.ExchangeResult:
         """Sends a request that may run once."""
         return await self.send_on(
             requests.incoming(request_id=f'r-{number}', method='POST'),
             ONCE,
             samples.target(address=self.address),
-            SECONDS,
+            seconds,
         )
 
+
+class ForeignAnswerTests(ForeignAnswerCase):
+    """A target writes an earlier answer once more on a kept connection."""
+
     async def test_repeated_refusal_is_not_this_requests(self) -> None:
         """It says nothing of the request, of the load, or of the owner."""
         for name, refusal in REFUSED.items():
@@ -162,6 +204,31 @@
                 self.assertEqual(self.target.connections, 2)
 
 
+class SecondSendTests(ForeignAnswerCase):
+    """A refused request goes to the same target again, under the same id."""
+
+    async def test_late_copy_of_a_refusal_promises_nothing(self) -> None:
+        """The second send runs, whatever is read of the first one's refusal."""
+        for name, refusal in REFUSED.items():
+            for answers_late in (False, True):
+                with self.subTest(name=name, answers_late=answers_late):
+                    behaviour = RefusedThenRun(refusal, answers_late)
+                    await self.start(behaviour)
+                    first = await self.send(1)
+                    self.assertIsInstance(first.outcome, outcomes.NotRun)
+                    second = await self.send(1, seconds=0.3)
+                    self.assertEqual(behaviour.runs, 1)
+                    self.assertNotIsInstance(second.outcome, outcomes.NotRun)
+
+    async def test_caller_gets_the_answer_of_the_second_send(self) -> None:
+        """It was 503 while the request ran."""
+        await self.start(RefusedThenRun(REFUSED['misdirected'], False))
+        await self.send(1)
+        second = await self.send(1)
+        assert isinstance(second.outcome, outcomes.Answered)
+        self.assertEqual(second.outcome.body, b'own')
+
+
 class CallerTests(unittest.IsolatedAsyncioTestCase):
     """What a caller is told of a request that may run once."""
 
