A second send of a request goes over a connection that has not carried it

Callers were told 503, 'not run and never will be', while their request ran (REFUSED). A target refused a request; only the owner of a key can serve it, so it was sent there once more, under the same id, on the same connection.

A connection remembers the names that it has carried and is replaced rather than used for one of them again, so an answer's id proves the send that it belongs to, whoever repeats an id.

--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -1,4 +1,8 @@
-"""Connections to targets that are reused only after a call's own answer."""
+"""Connections to targets that are reused only after a call's own answer.
+
+A connection carries a name, by which the answer to a call is known, only once:
+an answer to an earlier call of the same name may still arrive on it.
+"""
 
 import asyncio
 import contextvars
@@ -65,15 +69,18 @@
         marked: marks.Marks,
         until: float,
         request: request_progress.Progress | None = None,
+        name: str = '',
     ) -> None:
         """Starts with nothing sent; answers to it bear `marked`.
 
         After `until`, in seconds of `clock.now`, its first byte is not sent.
-        `request` is the caller's request that it carries, if any.
+        `request` is the caller's request that it carries, if any. `name` is
+        what the target knows the call by; '' if it has no name.
         """
         self.marked = marked
         self.until = until
         self.request = request
+        self.name = name
         #: The stream that carries the request; None before the first byte.
         self.writer: object = None
         self.carrier = request_progress.Carrier()
@@ -83,11 +90,6 @@
         """Whether any byte of the request was handed to a socket."""
         return self.writer is not None
 
-    @property
-    def call_name(self) -> str:
-        """What answers to it bear and no others; '' if nothing."""
-        return self.marked.echoed.text if self.marked.echoed else ''
-
     @property
     def is_wanted(self) -> bool:
         """Whether nobody has left who waits for the answer."""
@@ -132,8 +134,10 @@
         super().__init__(pool)
         #: Changes with each stream that is opened.
         self.carrier = request_progress.Carrier()
-        #: What answers to the last exchange bear; '' if nothing.
-        self.last_call = ''
+        #: Names of the calls that the stream has carried.
+        self.names: set[str] = set()
+        #: Name of the last one, which is empty if it had none.
+        self.last_name = ''
         self.reads_headers = False
         #: Bytes of the head, and of the trailers, that are being read.
         self.head_size = 0
@@ -156,11 +160,16 @@
         """Keeps what `reused` returns."""
 
     def reuse(self, urlparsed: urls.ParseResult, verify: bool) -> bool:
-        """Refuses a connection that was closed or holds unread bytes."""
+        """Refuses a connection that was closed or holds unread bytes.
+
+        One that has carried a call of the same name is refused, too.
+        """
         if self.reader is None or self.reader.at_eof():
             return False
         if not super().reuse(urlparsed, verify):
             return False
+        if self._has_carried_name():
+            return False
         if not self._has_unread() and not self._has_news():
             return True
         if self._has_unread() or not sockets.has_ended(self._socket()):
@@ -183,7 +192,9 @@
         exchange = current.get()
         if exchange is not None:
             exchange.begin(self.writer, self.carrier)
-            self.last_call = exchange.call_name
+            if exchange.name:
+                self.names.add(exchange.name)
+            self.last_name = exchange.name
         super().write(data)
 
     async def readuntil(self, separator: bytes = b'\n') -> bytes:
@@ -253,10 +264,14 @@
         loguru.logger.bind(
             connection=self.carrier.connection,
             uses=self.carrier.earlier_uses,
-            call=self.last_call,
+            call=self.last_name,
             beginning=bytes(unread[:FOLLOWING_BYTES]).decode('latin-1'),
         ).warning('bytes after a whole answer')
 
+    def _has_carried_name(self) -> bool:
+        exchange = current.get()
+        return exchange is not None and exchange.name in self.names
+
     def _has_unread(self) -> bool:
         """Tells whether the loop has read bytes that no exchange took."""
         return bool(self.reader and self.reader._buffer)  # noqa: WPS437
@@ -314,6 +329,7 @@
         """
         await super()._connection_made()
         self.carrier = request_progress.Carrier(next(numbers))
+        self.names = set()
         raw = self.writer.get_extra_info('socket')
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
--- a/src/bilberryglade/_targets/sender.py
+++ b/src/bilberryglade/_targets/sender.py
@@ -40,6 +40,8 @@
     seconds: float
     #: What tells its answer from those to other calls.
     marked: marks.Marks = marks.Marks()
+    #: What the target knows it by; a connection carries each name once.
+    name: str = ''
     #: Of the caller's request that it carries; None if it carries none.
     progress: request_progress.Progress | None = None
 
@@ -99,7 +101,10 @@
         http = self.fresh if on_fresh else self.kept
         deadline = time.monotonic() + call.seconds
         exchange = connections.Exchange(
-            call.marked, clock.now() + call.seconds, call.progress
+            call.marked,
+            clock.now() + call.seconds,
+            call.progress,
+            call.name,
         )
         connections.current.set(exchange)
         try:
@@ -167,7 +172,7 @@
         loguru.logger.bind(
             connection=exchange.carrier.connection,
             uses=exchange.carrier.earlier_uses,
-            call=exchange.call_name,
+            call=exchange.name,
             beginning=str(failure),
         ).warning('answer of {} belongs to another call', call.address)
 
--- a/src/bilberryglade/platform/exchange.py
+++ b/src/bilberryglade/platform/exchange.py
@@ -55,6 +55,7 @@
             body=request.body,
             seconds=seconds,
             marked=marked(request.request_id),
+            name=request.request_id,
             progress=request.progress,
         )
         outcome = await self.http.send(call, on_fresh=False)
