A kept connection that was replaced is kept like the first one

The library counts the uses of a connection object, not of its stream: after 1,000 calls each further one opened a connection of its own (9 for 12 calls where 4 are allowed on one; 3 now). The names that a connection remembers are bounded with it.

--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -24,6 +24,8 @@
 
 #: Idle time after which a kept connection is closed instead of used.
 IDLE_MS: typing.Final = 2000
+#: Calls that one connection carries; the names of all are kept.
+MOST_USES: typing.Final = 256
 #: Sent bytes that are not acknowledged for so long end a connection.
 SILENT_MS: typing.Final = 3000
 #: Seconds after a refusal for which its connection is watched for more bytes.
@@ -330,6 +332,7 @@
         await super()._connection_made()
         self.carrier = request_progress.Carrier(next(numbers))
         self.names = set()
+        self.requests_count = 0
         raw = self.writer.get_extra_info('socket')
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
@@ -366,7 +369,9 @@
     idle_ms: int = IDLE_MS,
 ) -> aiosonic.HTTPClient:
     """Returns a client with at most `size` connections of one class."""
-    pool = pools.PoolConfig(size=size, max_conn_idle_ms=idle_ms)
+    pool = pools.PoolConfig(
+        size=size, max_conn_requests=MOST_USES, max_conn_idle_ms=idle_ms
+    )
     return aiosonic.HTTPClient(
         connectors.TCPConnector(
             pool_configs={':default': pool},
--- a/src/bilberryglade/_targets/tests/test_connections.py
+++ b/src/bilberryglade/_targets/tests/test_connections.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
-from bilberryglade._targets import sender
+from bilberryglade._targets import connections, sender
 from bilberryglade._targets.tests import raw_target
 from bilberryglade._values import outcomes
 
@@ -52,6 +53,16 @@
         self.assertEqual(await self.call(), b'2')
         self.assertEqual(self.target.connections, 2)
 
+    async def test_replaced_connection_is_kept_as_the_first_was(self) -> None:
+        """Once the uses of the first one were over, each call opened another."""
+        with mock.patch.object(connections, 'MOST_USES', 3):
+            http = sender.Sender(2, 1000)
+        self.addAsyncCleanup(http.close)
+        self.http = http
+        for number in range(1, 13):
+            self.assertEqual(await self.call(), b'%d' % number)
+        self.assertEqual(self.target.connections, 3)
+
     async def test_quiet_connection_is_kept(self) -> None:
         """One on which nothing came carries the next call."""
         for number in (b'1', b'2', b'3'):
