--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -32,7 +32,7 @@
 FOLLOW_SECONDS: typing.Final = 1.0
 #: Of bytes that belong to no exchange so many are told, at most.
 FOLLOWING_BYTES: typing.Final = 120
-#: Statuses that may say that a request has not run.
+#: Statuses with which a target may say that it did not run a request.
 REFUSING_STATUSES: typing.Final = frozenset((400, 421, 429, 503))
 #: Longest head of an answer, and longest chunk of a body, in bytes: what is
 #: longer is held in memory until it ends, and may have no end.
--- a/src/bilberryglade/platform/exchange.py
+++ b/src/bilberryglade/platform/exchange.py
@@ -10,7 +10,13 @@
 from bilberryglade._codec import codec
 from bilberryglade._delivery import request_sender
 from bilberryglade._routing import admission
-from bilberryglade._targets import directory, marks, sender, standing
+from bilberryglade._targets import (
+    connections,
+    directory,
+    marks,
+    sender,
+    standing,
+)
 from bilberryglade._values import outcomes
 from bilberryglade.platform import headers
 from bilberryglade_schema import provider
@@ -20,7 +26,7 @@
 MISDIRECTED_STATUS: typing.Final = 421
 FULL_STATUS: typing.Final = 503
 #: Statuses by which callers are told that a request has not run.
-PROMISING_STATUSES: typing.Final = frozenset((408, 429, 503))
+PROMISING_STATUSES: typing.Final = frozenset((408, 421, 429, 503))
 PERCENT: typing.Final = 100
 #: The one text that says that a target leaves.
 LEAVING_TEXT: typing.Final = '1'
@@ -84,6 +90,7 @@
     no_signature = 'no signature'
     encoded = 'encoded body'
     bare_promise = 'a refusing status without x-not-executed'
+    contradiction = 'x-not-executed beside a signature or another status'
 
 
 class Understanding(typing.NamedTuple):
@@ -149,13 +156,17 @@
     """Returns what decides the meaning of an answer with the request's id.
 
     A success without the target's mark or with an encoded body is no answer, nor
-    is a status that would promise callers what the target did not say.
+    is a status that would promise callers what the target did not say. A target
+    signs what it ran, so a signed refusal says both.
     """
-    if answer.status == MISDIRECTED_STATUS:
+    is_signed = bool(headers.find(answer.headers, headers.SIGNATURE))
+    if answer.status == MISDIRECTED_STATUS and not is_signed:
         return Evidence.misdirected
     if headers.find(answer.headers, headers.NOT_RUN):
-        return Evidence.refusal
-    if not headers.find(answer.headers, headers.SIGNATURE):
+        may_refuse = answer.status in connections.REFUSING_STATUSES
+        is_refusal = may_refuse and not is_signed
+        return Evidence.refusal if is_refusal else Evidence.contradiction
+    if not is_signed:
         return Evidence.no_signature
     if headers.find(answer.headers, headers.CONTENT_ENCODING):
         return Evidence.encoded
