What a caller is told follows from all sends of its request together

A request that may be repeated was lost at one target and refused by the next: its caller was told 503, 'not run', by the last send alone. The result of a delivery holds the outcomes of all sends now, and what is told is derived from them in one place.

--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -46,15 +46,24 @@
 NOT_OWNER: typing.Final = outcomes.NotRun(outcomes.Reason.not_owner)
 
 
-class DeliveryResult(typing.NamedTuple):
-    """The outcome of a request, and how it was routed."""
+class TargetOutcome(typing.NamedTuple):
+    """What became of a request by one send of it."""
 
+    #: Name of the target.
+    target: str
     outcome: outcomes.Outcome
+
+
+class DeliveryResult(typing.NamedTuple):
+    """What became of a request, and how it was routed."""
+
+    #: What this instance itself decided; stands if nothing was sent.
+    own: outcomes.Outcome
     route: str = ''
     service: str = ''
     organisation: str = ''
-    #: Names of the targets to which the request was sent, in order.
-    targets: tuple[str, ...] = ()
+    #: In order.
+    sends: tuple[TargetOutcome, ...] = ()
     #: Target that owns the request's key but cannot be used now; else empty.
     owner: str = ''
     #: Milliseconds after which the caller may retry; 0 if unknown.
@@ -62,6 +71,18 @@
     #: Seconds that the caller had waited on earlier, refused requests; estimated.
     waited_seconds: float = 0
 
+    @property
+    def outcome(self) -> outcomes.Outcome:
+        """What the caller is told: it follows from all sends together."""
+        return outcomes.after_all(
+            [send.outcome for send in self.sends], self.own
+        )
+
+    @property
+    def targets(self) -> tuple[str, ...]:
+        """Names of the targets to which the request was sent, in order."""
+        return tuple(send.target for send in self.sends)
+
 
 class ChosenTarget(typing.NamedTuple):
     """The target chosen for a request, and the permit to send it there."""
@@ -143,13 +164,13 @@
             refused = outcomes.NotRun(outcomes.Reason.stopping)
             return self._with_retry_after(
                 request,
-                delivery._replace(outcome=refused),
+                delivery._replace(own=refused),
                 last_calls.RETRY_SECONDS,
             )
         quota_wait = None
         if self.crashes.is_quarantined(request):
             refused = outcomes.NotRun(outcomes.Reason.quarantined)
-            return delivery._replace(outcome=refused)
+            return delivery._replace(own=refused)
         if admitted.organisation is not None:
             quota_wait = await self.quotas.admit(
                 admitted.organisation,
@@ -210,7 +231,6 @@
         Retries are limited by the route's attempts, the deadline, the service's
         retry budget and whether the request may run twice.
         """
-        outcome: outcomes.Outcome
         denied_tables = owners.Tables()
         while True:
             chosen = await self._choose(job, delivery, denied_tables)
@@ -227,10 +247,8 @@
                 self._send_timeout(job, delivery),
                 chosen.permit,
             )
-            delivery = delivery._replace(
-                outcome=outcome,
-                targets=(*delivery.targets, chosen.target.name),
-            )
+            sent = TargetOutcome(chosen.target.name, outcome)
+            delivery = delivery._replace(sends=(*delivery.sends, sent))
             if not may_retry(job, delivery):
                 return self._with_short_retry_after(job, delivery)
             if outcome == NOT_OWNER:
@@ -243,10 +261,9 @@
         refusal: choosing.Refusal,
     ) -> DeliveryResult:
         """Returns the result for a request that no target can take now."""
-        delivery = delivery._replace(owner=refusal.owner)
-        if not delivery.targets:
-            refused = outcomes.NotRun(refusal.reason)
-            delivery = delivery._replace(outcome=refused)
+        delivery = delivery._replace(
+            owner=refusal.owner, own=outcomes.NotRun(refusal.reason)
+        )
         if isinstance(delivery.outcome, outcomes.NotRun):
             return self._with_retry_after(
                 job.request, delivery, refusal.retry_seconds
--- a/src/bilberryglade/_delivery/tests/test_router.py
+++ b/src/bilberryglade/_delivery/tests/test_router.py
@@ -53,6 +53,14 @@
     return router.Job(request, admitted, 's', now + left, now)
 
 
+def sent_once(outcome: outcomes.Outcome) -> router.DeliveryResult:
+    """Returns the delivery of a request after one send of it."""
+    return router.DeliveryResult(
+        outcomes.NotRun(REASON.over_rate),
+        sends=(router.TargetOutcome('t', outcome),),
+    )
+
+
 class RetryTests(unittest.TestCase):
     """The decision whether a request may be sent once more."""
 
@@ -74,7 +82,7 @@
             (GOOD, False, False),
         )
         for outcome, repeatable, allowed in cases:
-            delivery = router.DeliveryResult(outcome, targets=('t',))
+            delivery = sent_once(outcome)
             with self.subTest(outcome=outcome, repeatable=repeatable):
                 self.assertEqual(
                     router.may_retry(job(repeatable=repeatable), delivery),
@@ -83,12 +91,10 @@
 
     def test_no_retry_beyond_attempts_or_deadline(self) -> None:
         """The route's attempts and the remaining time limit retries."""
-        refused = router.DeliveryResult(
-            outcomes.NotRun(REASON.target_refused), targets=('t',)
-        )
+        refused = sent_once(outcomes.NotRun(REASON.target_refused))
         late = job(repeatable=True, left=router.MIN_SEND_SECONDS / 2)
         self.assertFalse(router.may_retry(late, refused))
-        two_attempts = refused._replace(targets=('t', 'u'))
+        two_attempts = refused._replace(sends=refused.sends * 2)
         self.assertFalse(router.may_retry(job(repeatable=True), two_attempts))
 
 
@@ -105,9 +111,18 @@
     Stands in for the request sender.
     """
 
-    def __init__(self, table_manager: mock.Mock) -> None:
-        """`table_manager` gets the new tables while a request is at `t1`."""
+    def __init__(
+        self,
+        table_manager: mock.Mock,
+        first: outcomes.Outcome,
+        second: outcomes.Outcome,
+    ) -> None:
+        """`table_manager` gets the new tables while a request is at `t1`.
+
+        `first` and `second` are what becomes of it at `t1` and `t2`.
+        """
         self.table_manager = table_manager
+        self.outcomes = {'t1': first, 't2': second}
         self.broker = mock.AsyncMock()
         self.broker.request_permit.return_value = None
         self.sent: list[str] = []
@@ -123,30 +138,34 @@
         target: directory.Target,
         *_: object,
     ) -> outcomes.Outcome:
-        """Returns an answer of `t2`, or a refusal of `t1` as not the owner."""
+        """Returns what becomes of a request at `target`."""
         self.sent.append(target.name)
-        if target.name == 't2':
-            return GOOD
         self.table_manager.tables = tables(2, 't2')
-        return outcomes.NotRun(REASON.not_owner)
+        return self.outcomes[target.name]
 
 
 class MovedKeyTests(unittest.IsolatedAsyncioTestCase):
     """A key whose owner changes while a request for it is at the old owner."""
 
-    async def test_sent_to_new_owner_without_waiting(self) -> None:
-        """Tables that arrived during the send are used without a wait.
-
-        The router waits only for tables newer than those in force when the
-        request was sent, not newer than those in force when it was refused.
-        """
+    async def deliver(
+        self,
+        first: outcomes.Outcome,
+        second: outcomes.Outcome,
+        *,
+        repeatable: bool,
+    ) -> tuple[router.DeliveryResult, list[str]]:
+        """Returns a delivery, and the targets that got the request."""
         listed = directory.Directory()
         for number in (1, 2):
             target = target_samples.target(name=f't{number}', offset=number)
             listed = directory.put(listed, target)
         service = catalogue.Service('s', True, 0, 0)
         known_catalogue = catalogue.Catalogue(
-            1, {'h': {'/a/': route(repeatable=False)}}, {'s': service}, {}, {}
+            1,
+            {'h': {'/a/': route(repeatable=repeatable)}},
+            {'s': service},
+            {},
+            {},
         )
         reader = mock.Mock(
             known=knowledge.Knowledge(
@@ -154,7 +173,7 @@
             )
         )
         table_manager = mock.Mock(tables=tables(1, 't1'))
-        fake_targets = FakeTargets(table_manager)
+        fake_targets = FakeTargets(table_manager, first, second)
         request_router = router.Router(
             mock.Mock(bounds=BOUNDS, failure_domain='a'),
             reader,
@@ -165,11 +184,29 @@
             mock.Mock(is_quarantined=lambda _: False),
         )
         request_router.started_at -= BOUNDS.retry_window
+        request = samples.incoming(arrived_at=clock.now())
+        return await request_router.serve(request), fake_targets.sent
+
+    async def test_refusal_after_a_lost_send_promises_nothing(self) -> None:
+        """The caller was told 503 though the first send may have run."""
+        lost = outcomes.Unknown(REASON.answer_lost)
+        refused = outcomes.NotRun(REASON.target_refused)
+        delivery, sent = await self.deliver(lost, refused, repeatable=True)
+        self.assertEqual(sent, ['t1', 't2'])
+        self.assertEqual(delivery.outcome, lost)
+        self.assertEqual(delivery.retry_after_ms, 0)
+
+    async def test_sent_to_new_owner_without_waiting(self) -> None:
+        """Tables that arrived during the send are used without a wait.
+
+        The router waits only for tables newer than those in force when the
+        request was sent, not newer than those in force when it was refused.
+        """
         started_at = clock.now()
-        request = samples.incoming(arrived_at=started_at)
-        delivery = await request_router.serve(request)
+        denied = outcomes.NotRun(REASON.not_owner)
+        delivery, sent = await self.deliver(denied, GOOD, repeatable=False)
         self.assertEqual(delivery.outcome, GOOD)
-        self.assertEqual(fake_targets.sent, ['t1', 't2'])
+        self.assertEqual(sent, ['t1', 't2'])
         self.assertLess(
             clock.now() - started_at, router.MAX_OWNER_WAIT_SECONDS / 2
         )
--- a/src/bilberryglade/_values/outcomes.py
+++ b/src/bilberryglade/_values/outcomes.py
@@ -2,6 +2,7 @@
 
 import enum
 import typing
+from collections import abc
 
 
 class Header(typing.NamedTuple):
@@ -72,3 +73,17 @@
 
 
 Outcome: typing.TypeAlias = Answered | NotRun | Unknown
+
+
+def after_all(sends: abc.Sequence[Outcome], own: Outcome) -> Outcome:
+    """Returns what became of a request by all its sends, given in order.
+
+    It has certainly not run only if that holds for each of them; otherwise the
+    last answer stands, or the last loss if there was no answer. `own` is what
+    the router itself decided, and stands if nothing was sent.
+    """
+    for kind in (Answered, Unknown):
+        found = [outcome for outcome in sends if isinstance(outcome, kind)]
+        if found:
+            return found[-1]
+    return sends[-1] if sends else own
