A second attempt in the first product takes a connection of its own, too

Its targets echo nothing: a late copy of a refusal was taken for the answer to the next attempt of the same request (test_late_copy_of_a_refusal_promises_nothing failed before: NotRun while it ran).

--- a/src/bilberryglade/_targets/client.py
+++ b/src/bilberryglade/_targets/client.py
@@ -148,6 +148,7 @@
             headers=_headers(request, grant, seconds),
             body=request.body,
             seconds=seconds,
+            name=requests.caller_request_id(request.request_id),
         )
         outcome = await self.sender.send(call, on_fresh=on_fresh)
         if isinstance(outcome, outcomes.Unknown):
--- a/src/bilberryglade/_targets/tests/raw_target.py
+++ b/src/bilberryglade/_targets/tests/raw_target.py
@@ -1,12 +1,16 @@
 """A raw TCP server that answers as a test says and counts what arrives."""
 
 import asyncio
+import itertools
 import typing
 from collections import abc
 
 from bilberryglade._targets import client
 from bilberryglade._values import outcomes, requests
 
+#: Numbers of requests; like those of callers, each has an id of its own.
+NUMBERS: typing.Final = itertools.count(1)
+
 Behaviour: typing.TypeAlias = abc.Callable[
     ['RawTarget', asyncio.StreamWriter, int],
     abc.Awaitable[bool],
@@ -101,10 +105,11 @@
     repeatable: bool = False,
     body: bytes = b'{}',
     headers: tuple[outcomes.Header, ...] = (),
+    request_id: str = '',
 ) -> requests.RoutedRequest:
     """Returns a request for the target."""
     return requests.RoutedRequest(
-        request_id='r-1',
+        request_id=request_id or f'r-{next(NUMBERS)}',
         organisation='office',
         service='claims',
         slot=1,
--- a/src/bilberryglade/_targets/tests/test_client.py
+++ b/src/bilberryglade/_targets/tests/test_client.py
@@ -13,6 +13,9 @@
 
 SECONDS: typing.Final = 2.0
 LOST: typing.Final = outcomes.Unknown(outcomes.Reason.answer_lost)
+REFUSAL: typing.Final = (
+    b'HTTP/1.1 503 Busy\r\nrun-state: not-started\r\ncontent-length: 0\r\n\r\n'
+)
 UNREACHABLE: typing.Final = outcomes.NotRun(
     outcomes.Reason.target_unreachable,
 )
@@ -236,6 +239,36 @@
         self.assertEqual(self.target.connections, 2)
 
 
+class SecondAttemptTest(ClientCase):
+    """A refused request that may be repeated goes to the target again."""
+
+    async def test_late_copy_of_a_refusal_promises_nothing(self) -> None:
+        """It came on the connection that the second attempt was sent over."""
+        writers: list[asyncio.StreamWriter] = []
+
+        async def behave(  # noqa: WPS430
+            _: raw_target.RawTarget,
+            writer: asyncio.StreamWriter,
+            number: int,
+        ) -> bool:
+            writers.append(writer)
+            writers[0].write(REFUSAL)
+            if number == 2:
+                await asyncio.sleep(0.05)
+                writer.write(raw_target.whole(b'own'))
+            return True
+
+        address = await self.start(behave)
+        for attempt in ('r', 'r.1'):
+            request = raw_target.request(repeatable=True, request_id=attempt)
+            outcome = await self.client.run(
+                address, request, raw_target.GRANT, SECONDS
+            )
+        self.assertEqual(len(self.target.seen), 2)
+        assert isinstance(outcome, outcomes.Answered), outcome
+        self.assertEqual(outcome.body, b'own')
+
+
 class GrantTest(ClientCase):
     """What counts as a grant that a target took."""
 
