--- a/src/bilberryglade/_delivery/delivery.py
+++ b/src/bilberryglade/_delivery/delivery.py
@@ -69,6 +69,7 @@
             slot=self.spread.slot_for(self.reader.view, home_request)
         )
         tried_targets: list[str] = []
+        earlier: list[outcomes.Outcome] = []
         while True:
             target = owner_of(self.reader.view, attempt)
             outcome = await self._try_and_count(attempt, target)
@@ -82,7 +83,9 @@
                 attempt, outcome, next_slot, len(tried_targets)
             )
             if isinstance(decision, retry.ReturnOutcome):
-                return decision.outcome
+                told = decision.outcome
+                return outcomes.after_all((*earlier, told), told)
+            earlier.append(outcome)
             self.retry_budget = decision.budget
             self.retries += 1
             await asyncio.sleep(decision.after_seconds)
