--- a/src/bilberryglade/_delivery/tests/test_delivery.py
+++ b/src/bilberryglade/_delivery/tests/test_delivery.py
@@ -21,7 +21,13 @@
         reader = mock.Mock(view=state.ClusterState())
         watch = mock.Mock(is_quarantined=lambda _: False)
         under_test = delivery.Delivery(
-            'i', reader, *(mock.Mock() for _ in range(4)), watch
+            'i',
+            reader,
+            mock.Mock(),
+            mock.Mock(),
+            mock.Mock(),
+            mock.Mock(),
+            watch,
         )
         request = raw_target.request(repeatable=True)._replace(
             deadline=time.monotonic() + 10
--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -97,6 +97,10 @@
         """Whether nobody has left who waits for the answer."""
         return self.request is None or not self.request.has_left()
 
+    def end(self) -> None:
+        """Lets no first byte go out any more, whatever still runs of it."""
+        self.until = float('-inf')
+
     def begin(self, writer: object, carrier: request_progress.Carrier) -> None:
         """Takes the stream that gets the next bytes, and what it belongs to.
 
--- a/src/bilberryglade/_targets/sender.py
+++ b/src/bilberryglade/_targets/sender.py
@@ -120,6 +120,7 @@
             return await self._outcome(call.method, response, deadline)
         except BROKEN_EXCHANGE as failure:
             _note_foreign(call, exchange, failure)
+            exchange.end()
             if exchange.is_sent:
                 return outcomes.Unknown(_lost_reason(failure))
             return outcomes.NotRun(_unsent_reason(failure))
--- a/src/bilberryglade/_targets/tests/test_sender.py
+++ b/src/bilberryglade/_targets/tests/test_sender.py
@@ -6,9 +6,9 @@
 import unittest
 from unittest import mock
 
-from bilberryglade._targets import sender
+from bilberryglade._targets import connections, sender
 from bilberryglade._targets.tests import raw_target
-from bilberryglade._values import clock, outcomes
+from bilberryglade._values import clock, outcomes, request_progress
 
 #: Bytes that a target may send before it is given up; buffers of sockets are
 #: the larger part.
@@ -50,6 +50,30 @@
         server.close()
 
 
+class UnsentCallTests(unittest.IsolatedAsyncioTestCase):
+    """A call that ended before its first byte."""
+
+    async def test_nothing_is_sent_after_not_run_was_concluded(self) -> None:
+        """Whatever of the library goes on finds the exchange ended."""
+        http = sender.Sender(2, 1000)
+        self.addAsyncCleanup(http.close)
+        exchanges: list[connections.Exchange] = []
+
+        async def fail(*_: object, **named: object) -> None:  # noqa: WPS430
+            exchange = connections.current.get()
+            assert exchange is not None
+            exchanges.append(exchange)
+            raise ConnectionRefusedError
+
+        call = sender.Call('127.0.0.1:1', 'POST', '/order', {}, b'', seconds=1)
+        with mock.patch.object(http.kept, 'request', fail):
+            outcome = await http.send(call, on_fresh=False)
+        unreachable = outcomes.Reason.target_unreachable
+        self.assertEqual(outcome, outcomes.NotRun(unreachable))
+        with self.assertRaises(connections.LateError):
+            exchanges[0].begin(object(), request_progress.UNKNOWN_CARRIER)
+
+
 class LateCallTests(unittest.IsolatedAsyncioTestCase):
     """A process that stands still between the start of a call and its send."""
 
