A new lease begins only by an answer that can't be an earlier order's

Answers to grants bear nothing. A late copy of a renewal's 200 was read as that of the next order on the connection: a lease whose owner had refused it (409), or of which the owner knew nothing, counted as granted, and its keys were refused there until the next order (test_late_answer_to_a_renewal_confirms_no_new_lease: Ok before). First orders of a lease go over a connection of their own; renewals repeat what was confirmed.

--- a/src/bilberryglade/_ownership/lease_manager.py
+++ b/src/bilberryglade/_ownership/lease_manager.py
@@ -334,6 +334,7 @@
             entry.fence,
             seconds,
             outstanding_leases.handover(leases_before, entry),
+            is_renewal=self.is_granted((service, entry), sent_at),
         )
         answer = await self.orders.grant(
             leases.Holder(target.name, target.address), lease
--- a/src/bilberryglade/_ownership/tests/test_lease_manager.py
+++ b/src/bilberryglade/_ownership/tests/test_lease_manager.py
@@ -97,6 +97,26 @@
         self.assertEqual(self.lease_manager.stale_fences, {('s', ENTRY)})
         self.assertFalse(self.lease_manager.reachability.is_failing(OWNER))
 
+    async def test_an_order_renews_only_what_was_confirmed(self) -> None:
+        """A lease that was not confirmed, or has ended, begins anew."""
+        confirmed = result.Ok(None)
+        unclear = result.Err(leases.Failure.unclear)
+        for answer in (confirmed, unclear, unclear, confirmed):
+            self.orders.grant.return_value = answer
+            await self.rounds(9)
+        # Probes in vain keep orders back until the lease has ended.
+        self.orders.reach.return_value = False
+        self.orders.grant.return_value = unclear
+        await self.rounds(30)
+        self.orders.reach.return_value = True
+        await self.rounds(9)
+        renewals = [
+            call.args[1].is_renewal for call in self.orders.grant.mock_calls
+        ]
+        self.assertFalse(renewals[0])
+        self.assertTrue(renewals[1])
+        self.assertFalse(renewals[-1])
+
     async def test_lost_orders_do_not_prolong_the_lease(self) -> None:
         """After the first lost grant no further ones extend the lease."""
         self.orders.grant.return_value = result.Err(leases.Failure.unclear)
--- a/src/bilberryglade/_values/leases.py
+++ b/src/bilberryglade/_values/leases.py
@@ -19,6 +19,8 @@
     seconds: float = 0
     #: Word of the previous owner that its warm state can be taken over.
     handover: str = ''
+    #: Whether its holder confirmed an earlier order of it that still runs.
+    is_renewal: bool = False
 
 
 class Holder(typing.NamedTuple):
--- a/src/bilberryglade/platform/orders.py
+++ b/src/bilberryglade/platform/orders.py
@@ -53,7 +53,12 @@
         target: leases.Holder,
         lease: leases.Lease,
     ) -> result.Result[None, leases.Failure]:
-        """Grants a lease, or renews it; its time runs from its arrival."""
+        """Grants a lease, or renews it; its time runs from its arrival.
+
+        Nothing in an answer tells which order it answers. A new lease begins
+        only by an answer on a connection that nothing else was asked on; that
+        of a renewal may be a late one to an earlier order, at the worst.
+        """
         order: dict[str, object] = {
             'from': lease.first,
             'to': lease.last,
@@ -63,7 +68,11 @@
         if lease.handover:
             order['handover'] = lease.handover
         answer = await self._order(
-            target, 'grant', order, GRANT_SECONDS, on_fresh=False
+            target,
+            'grant',
+            order,
+            GRANT_SECONDS,
+            on_fresh=not lease.is_renewal,
         )
         return answer.map(lambda _: None)
 
--- a/src/bilberryglade/platform/tests/test_orders.py
+++ b/src/bilberryglade/platform/tests/test_orders.py
@@ -11,7 +11,9 @@
 from bilberryglade._values import leases
 from bilberryglade.platform import orders
 
-LEASE: typing.Final = leases.Lease(0, 9, fence=2, seconds=3)
+LEASE: typing.Final = leases.Lease(0, 9, fence=2, seconds=3, is_renewal=True)
+#: One that its holder has not confirmed yet.
+NEW_LEASE: typing.Final = leases.Lease(20, 29, fence=4, seconds=3)
 #: Seconds for a release; its answers come at once here.
 SECONDS: typing.Final = 0.5
 UNCLEAR: typing.Final = result.Err(leases.Failure.unclear)
@@ -143,6 +145,28 @@
         self.assertEqual(await self.grant(), FENCED)
         self.assertEqual(self.target.connections, 2)
 
+    async def test_late_answer_to_a_renewal_confirms_no_new_lease(self) -> None:
+        """It comes on the connection of renewals, while the new one runs."""
+        writers: list[asyncio.StreamWriter] = []
+
+        async def behave(  # noqa: WPS430
+            _: raw_target.RawTarget,
+            writer: asyncio.StreamWriter,
+            number: int,
+        ) -> bool:
+            writers.append(writer)
+            writers[0].write(written(200))
+            if number == 2:
+                await asyncio.sleep(0.05)
+                writer.write(written(409))
+            return True
+
+        await self.start()
+        self.target.behaviour = behave
+        self.assertEqual(await self.grant(), result.Ok(None))
+        granted = await self.orders.grant(self.holder, NEW_LEASE)
+        self.assertEqual(granted, FENCED)
+
     async def test_target_that_is_away(self) -> None:
         """No byte of an order went out."""
         await self.start()
