An append is confirmed by the end that it named, or on a connection of its own

The coordinator's tables and the fence of its writers name no end: a late answer to another append on the kept connection put tables in force that the store had refused, under a foreign offset (test_late_answer_confirms_no_other_writers_append: Ok(7) for a 409 before). Nobody has seen the store answer twice.

--- a/src/bilberryglade/platform/store.py
+++ b/src/bilberryglade/platform/store.py
@@ -71,7 +71,14 @@
             query['epoch'] = condition.epoch
             query['seq'] = condition.sequence
         body = records.frame(records.keyed(key, payload))
-        answer = await self._call('POST', 'log-append', query, body)
+        answer = await self._call(
+            'POST',
+            'log-append',
+            query,
+            body,
+            # Without an end nothing tells the answer from one to another append.
+            on_fresh=condition.end is None,
+        )
         if isinstance(answer, result.Err):
             return answer
         decoded = codec.decode_json(answer.ok_value, provider.AppendAnswer)
@@ -102,7 +109,9 @@
             'epoch': epoch,
             'seq': 0,
         }
-        answer = await self._call('POST', 'log-append', query, b'')
+        answer = await self._call(
+            'POST', 'log-append', query, b'', on_fresh=True
+        )
         if isinstance(answer, result.Err):
             return answer
         decoded = codec.decode_json(answer.ok_value, provider.AppendAnswer)
@@ -193,6 +202,8 @@
         query: dict[str, str | int],
         body: bytes,
         seconds: float = CALL_SECONDS,
+        *,
+        on_fresh: bool = False,
     ) -> Answer:
         self.calls += 1
         call = sender.Call(
@@ -205,7 +216,9 @@
         )
         outcome: outcomes.Outcome | None = None
         try:
-            outcome = await self.http.send(call, on_fresh=self.is_doubted)
+            outcome = await self.http.send(
+                call, on_fresh=on_fresh or self.is_doubted
+            )
         finally:
             self.is_doubted = not isinstance(outcome, outcomes.Answered)
         if isinstance(outcome, outcomes.NotRun):
--- a/src/bilberryglade/platform/tests/test_store.py
+++ b/src/bilberryglade/platform/tests/test_store.py
@@ -1,5 +1,6 @@
 """The store's client against a stand-in that keeps the published rules."""
 
+import asyncio
 import unittest
 from unittest import mock
 
@@ -11,6 +12,7 @@
 from bilberryglade.platform.tests import servers
 
 TOPIC = 'test'
+FENCED = b'HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n'
 WIRE_TOPIC = f'keyed.{TOPIC}'
 
 
@@ -67,6 +69,37 @@
         await client.append(TOPIC, 'a', b'1')
         self.assertEqual(target.connections, 3)
 
+    async def test_late_answer_confirms_no_other_writers_append(self) -> None:
+        """Only the end that a condition names tells whose an answer is."""
+        writers: list[asyncio.StreamWriter] = []
+
+        async def behave(  # noqa: WPS430
+            _: raw_target.RawTarget,
+            writer: asyncio.StreamWriter,
+            number: int,
+        ) -> bool:
+            writers.append(writer)
+            writers[0].write(raw_target.whole(b'{"offset": 7, "end": 8}'))
+            if number > 1:
+                await asyncio.sleep(0.05)
+                writer.write(FENCED)
+            return True
+
+        conflict = result.Err(stored.Failure.conflict)
+        condition = stored.Condition(writer='w', epoch=1, sequence=1)
+        calls: dict[str, tuple[object, ...]] = {
+            'append': (TOPIC, 'a', b'', condition),
+            'fence': (TOPIC, 'w', 2),
+        }
+        for name, arguments in calls.items():
+            writers.clear()
+            target = raw_target.RawTarget(behave)
+            self.addAsyncCleanup(target.stop)
+            client = store.StoreClient(await target.start(), self.store.http)
+            await client.append(TOPIC, 'a', b'', stored.Condition(end=7))
+            given = await getattr(client, name)(*arguments)
+            self.assertEqual(given, conflict)
+
     async def test_writers_are_fenced(self) -> None:
         """A higher epoch ends the appends of lower ones."""
         old = stored.Condition(writer='w', epoch=1, sequence=1)
