--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -197,10 +197,10 @@
         """Writes for the current exchange, over one connection only."""
         exchange = current.get()
         if exchange is not None:
+            is_first = not exchange.is_sent
             exchange.begin(self.writer, self.carrier)
-            if exchange.name:
-                self.names.add(exchange.name)
-            self.last_name = exchange.name
+            if is_first:
+                self._count_use(exchange)
         super().write(data)
 
     async def readuntil(self, separator: bytes = b'\n') -> bytes:
@@ -248,8 +248,6 @@
         is_empty = not self.reads_headers and self.framing == EMPTY_BODY
         if not self.blocked and not is_empty:
             self.close()
-        uses = self.carrier.earlier_uses + 1
-        self.carrier = self.carrier._replace(earlier_uses=uses)
         is_refused = _status_of(self.status_line) in REFUSING_STATUSES
         if is_refused and self.reader is not None:
             asyncio.get_running_loop().call_later(
@@ -257,8 +255,15 @@
             )
         super().release()
 
+    def _count_use(self, exchange: Exchange) -> None:
+        if exchange.name:
+            self.names.add(exchange.name)
+        self.last_name = exchange.name
+        uses = self.carrier.earlier_uses + 1
+        self.carrier = self.carrier._replace(earlier_uses=uses)
+
     def _look_after(self, carrier: request_progress.Carrier) -> None:
-        """Tells of bytes after a refusal, unless another exchange read on."""
+        """Tells of bytes after a refusal, unless another exchange began."""
         if self.reader is None or self.carrier != carrier:
             return
         if self._has_unread():
