--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -121,6 +121,26 @@
         self.writer = writer
 
 
+class Uses:
+    """Which calls one stream to a target has carried."""
+
+    def __init__(self, number: int = 0) -> None:
+        """Starts with none; `number` is that of the connection."""
+        #: As the next call sees it.
+        self.carrier = request_progress.Carrier(number)
+        self.names: set[str] = set()
+        #: Name of the last call; '' if it had none.
+        self.last_name = ''
+
+    def add(self, name: str) -> None:
+        """Counts a call; `name` is '' if it has none."""
+        if name:
+            self.names.add(name)
+        self.last_name = name
+        count = self.carrier.earlier_uses + 1
+        self.carrier = self.carrier._replace(earlier_uses=count)
+
+
 #: Numbers of the connections of this process.
 numbers: typing.Final = itertools.count(1)
 current: typing.Final[contextvars.ContextVar[Exchange | None]] = (
@@ -138,12 +158,8 @@
     def __init__(self, pool: pools.BasePool) -> None:
         """Starts without a connection."""
         super().__init__(pool)
-        #: Changes with each stream that is opened.
-        self.carrier = request_progress.Carrier()
-        #: Names of the calls that the stream has carried.
-        self.names: set[str] = set()
-        #: Name of the last one, which is empty if it had none.
-        self.last_name = ''
+        #: Of the stream that is open.
+        self.uses = Uses()
         self.reads_headers = False
         #: Bytes of the head, and of the trailers, that are being read.
         self.head_size = 0
@@ -174,7 +190,8 @@
             return False
         if not super().reuse(urlparsed, verify):
             return False
-        if self._has_carried_name():
+        exchange = current.get()
+        if exchange is not None and exchange.name in self.uses.names:
             return False
         if not self._has_unread() and not self._has_news():
             return True
@@ -198,9 +215,9 @@
         exchange = current.get()
         if exchange is not None:
             is_first = not exchange.is_sent
-            exchange.begin(self.writer, self.carrier)
+            exchange.begin(self.writer, self.uses.carrier)
             if is_first:
-                self._count_use(exchange)
+                self.uses.add(exchange.name)
         super().write(data)
 
     async def readuntil(self, separator: bytes = b'\n') -> bytes:
@@ -251,20 +268,13 @@
         is_refused = _status_of(self.status_line) in REFUSING_STATUSES
         if is_refused and self.reader is not None:
             asyncio.get_running_loop().call_later(
-                FOLLOW_SECONDS, self._look_after, self.carrier
+                FOLLOW_SECONDS, self._look_after, self.uses.carrier
             )
         super().release()
 
-    def _count_use(self, exchange: Exchange) -> None:
-        if exchange.name:
-            self.names.add(exchange.name)
-        self.last_name = exchange.name
-        uses = self.carrier.earlier_uses + 1
-        self.carrier = self.carrier._replace(earlier_uses=uses)
-
     def _look_after(self, carrier: request_progress.Carrier) -> None:
         """Tells of bytes after a refusal, unless another exchange began."""
-        if self.reader is None or self.carrier != carrier:
+        if self.reader is None or self.uses.carrier != carrier:
             return
         if self._has_unread():
             self._tell_what_follows()
@@ -273,16 +283,12 @@
         """Writes a line on what came after the last whole answer."""
         unread = self.reader._buffer if self.reader else b''  # noqa: WPS437
         loguru.logger.bind(
-            connection=self.carrier.connection,
-            uses=self.carrier.earlier_uses,
-            call=self.last_name,
+            connection=self.uses.carrier.connection,
+            uses=self.uses.carrier.earlier_uses,
+            call=self.uses.last_name,
             beginning=bytes(unread[:FOLLOWING_BYTES]).decode('latin-1'),
         ).warning('bytes after a whole answer')
 
-    def _has_carried_name(self) -> bool:
-        exchange = current.get()
-        return exchange is not None and exchange.name in self.names
-
     def _has_unread(self) -> bool:
         """Tells whether the loop has read bytes that no exchange took."""
         return bool(self.reader and self.reader._buffer)  # noqa: WPS437
@@ -339,8 +345,7 @@
         the usual way they would still arrive when the partition heals.
         """
         await super()._connection_made()
-        self.carrier = request_progress.Carrier(next(numbers))
-        self.names = set()
+        self.uses = Uses(next(numbers))
         self.requests_count = 0
         raw = self.writer.get_extra_info('socket')
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
