Tests: an instance that broke fails the test that ran it

They were left by an instance of test_takeover that had ended with an error, since the store's client has a new argument that the test's stand-in did not take; the deployment of the tests dropped the error. It is raised now, and the stand-in takes any argument.

--- a/src/bilberryglade/platform/tests/deployment.py
+++ b/src/bilberryglade/platform/tests/deployment.py
@@ -66,12 +66,16 @@
         """Ends everything."""
         for running in self.entries:
             running.parts.stopping.set()
-        await asyncio.gather(*self.tasks[1:], return_exceptions=True)
+        ended = await asyncio.gather(*self.tasks[1:], return_exceptions=True)
         self.tasks[0].cancel()
         for listed in self.listed.values():
             await listed.running.stop()
         await self.http.close()
         await self.store.stop()
+        # An instance that broke leaves its sockets open, and their collection
+        # would block whatever test runs then.
+        broken = [one for one in ended if isinstance(one, BaseException)]
+        assert not broken, broken
 
     async def add_target(self, name: str, service: str, born: int = 1) -> None:
         """Starts a target, or another life of it."""
--- a/src/bilberryglade/platform/tests/test_takeover.py
+++ b/src/bilberryglade/platform/tests/test_takeover.py
@@ -17,7 +17,7 @@
 LOST_CALL_SECONDS: typing.Final = 0.9
 
 
-async def unanswered(*_: typing.Any) -> typing.Any:
+async def unanswered(*_: typing.Any, **named: typing.Any) -> typing.Any:
     """Stands for a call of the store that is cut off from it."""
     await asyncio.sleep(LOST_CALL_SECONDS)
     return result.Err(stored.Failure.unclear)
