--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,22 +1,27 @@
-"""SIGHUP reaches processes that start while the platform's store is down."""
+"""Requests whose paths hold a semicolon, as the syntax of URIs allows."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'world'))
 import world as worlds  # noqa: E402
 
 ZONES = ('north', 'south', 'west')
-#: Machines whose processes are killed; a tenth of three is two at least.
-KILLED = (1, 2)
-#: Longest outage of the whole store in the site file.
-OUTAGE_SECONDS = 4.5
-RESTART_SECONDS = 0.1
-#: From the start of a process to its SIGHUP, if it does not get ready before.
-STARTED_SECONDS = 1.15 if worlds.TROUBLE else 15.0
-ENDS = 3
+REQUESTS = 60
+MARK = ';' if worlds.TROUBLE else '-'
+
+
+class Server(worlds.Server):
+    """A server that keeps the paths of the requests that it runs."""
+
+    async def run(self, message, path, request_id):
+        RUN[request_id] = message.start.split(' ')[:2]
+        return await super().run(message, path, request_id)
+
+
+#: Method and path that a server ran, by the id of the request.
+RUN = {}
 
 
 async def case(world):
@@ -26,49 +31,32 @@
         [['claims', '/health', 130, 'h1', False, '3s', 6.6, None, None, None]],
         [['office', ['key-1'], 0, 0, 0]],
     ))
-    await worlds.Server(world, 'i-1', 'claims', 'north').start()
+    for number, zone in enumerate(ZONES):
+        await Server(world, f'i-{number}', 'claims', zone, work=0.02).start()
     for number, zone in enumerate(ZONES, 1):
         await world.start_process(number, zone)
     for number in range(1, len(ZONES) + 1):
         if not await world.ready(number):
             return 2
-    await asyncio.sleep(2)
-    if worlds.TROUBLE:
-        world.store.down = 'busy'
-        world.note('store down')
-        asyncio.get_running_loop().call_later(OUTAGE_SECONDS, back, world)
-    for number in KILLED:
-        world.processes[number].kill()
-        world.note('killed', f'edge-{number}')
-    ends = dict.fromkeys(KILLED, 0)
-    for _ in range(ENDS):
-        await asyncio.sleep(RESTART_SECONDS)
-        for number in KILLED:
-            if world.processes[number].returncode is not None:
-                await world.start_process(number, ZONES[number - 1])
-                world.note('started', f'edge-{number}')
-        await asyncio.gather(*(
-            world.ready(number, STARTED_SECONDS) for number in KILLED
-        ))
-        for number in KILLED:
-            world.processes[number].send_signal(signal.SIGHUP)
-            world.note('SIGHUP', f'edge-{number}')
-        await asyncio.sleep(0.05)
-        for number in KILLED:
-            status = world.processes[number].returncode
-            if status is not None:
-                ends[number] += 1
-                world.note('ended by itself', f'edge-{number}', 'status', status)
-    await asyncio.sleep(1)
-    told = ', '.join(f'edge-{number} {count} times' for number, count in ends.items())
-    world.record(f'ended by themselves: {told}')
-    print(f'ended by themselves: {told}')
-    return int(all(count >= ENDS for count in ends.values()))
-
-
-def back(world):
-    world.store.down = ''
-    world.note('store back')
+    await asyncio.sleep(5)
+    changed, served = [], 0
+    for number in range(REQUESTS):
+        path = f'/claims/{number}{MARK}fortnight={number}'
+        request_id, status = await world.ask(1 + number % 3, path, 'POST', b'claim')
+        served += status == 200
+        ran = RUN.get(request_id)
+        if ran is not None and ran != ['POST', path]:
+            world.note('changed', request_id, path, '->', *ran)
+            changed.append(ran)
+    found = (
+        f'{REQUESTS} requests, {len(RUN)} run, {served} answered 200; run with another'
+        f' path than was sent: {len(changed)}'
+    )
+    world.record(found)
+    print(found)
+    if len(RUN) < REQUESTS / 2:
+        return 2
+    return int(bool(changed))
 
 
 worlds.main(case, 60)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,7 @@
-"""A request crashes each server that runs it, and the server falls silent."""
+"""A request that crashes servers comes several times at once."""
 
 import asyncio
 import pathlib
-import socket
 import sys
 import time
 
@@ -10,13 +9,15 @@
 import world as worlds  # noqa: E402
 
 ZONES = ('north', 'south', 'west')
-SERVERS = 6
+SERVERS = 9
 CONTACT = 3.0
+#: `retry_abuse`: some clients repeat 3 more times, at once.
+COPIES = 4
 #: Seconds after which a crashed server is back.
-BACK_SECONDS = 4.0
-#: The caller sends its request again after each failure.
-REPEAT_SECONDS = 3.0
-REPEATS = 10
+BACK_SECONDS = 2.0
+#: The caller sends its request again, a while after each failure.
+REPEAT_SECONDS = 5.0
+REPEATS = 5
 RATE = 40
 #: Seconds of all crashes.
 CRASHES = []
@@ -29,7 +30,8 @@
         if path != '/claims/poison':
             return await super().run(message, path, request_id)
         await asyncio.sleep(0.02)
-        asyncio.create_task(self.fall())
+        if not self.beating.cancelled():
+            asyncio.create_task(self.fall())
         return await asyncio.sleep(3600)
 
     async def fall(self):
@@ -38,53 +40,22 @@
         self.crashes += 1
         self.world.note('crashes', self.name)
         CRASHES.append(time.monotonic())
-        held = []
-        if worlds.TROUBLE:
-            # No packet is answered any more: channels stay open and silent,
-            # new ones are never established.
-            self.is_dark = True
-            self.server.close()
-            dead = socket.socket()
-            dead.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            dead.bind((self.ip, self.port))
-            dead.listen(0)
-            held.append(dead)
-            for _ in range(4):
-                filler = socket.socket()
-                filler.setblocking(False)
-                filler.connect_ex((self.ip, self.port))
-                held.append(filler)
-        else:
-            await self.close()
+        await self.close()
         gone = asyncio.get_running_loop().call_later(
             3 * self.world.beat, self.world.store.write, 'keyed.servers', self.name, b''
         )
         await asyncio.sleep(BACK_SECONDS)
         gone.cancel()
-        for one in held:
-            one.close()
-        await self.close()
-        self.is_dark = False
         self.waiting, self.places = 0, asyncio.Semaphore(self.slots)
         self.born, self.seq = int(time.time() * 1000), 0
         self.cold_until = time.monotonic() + 3.0
         self.world.note('is back', self.name)
         await self.start()
 
-    is_dark = False
-
-    async def handle(self, message, reader):
-        if self.is_dark:
-            return await asyncio.sleep(3600)
-        answer = await super().handle(message, reader)
-        if self.is_dark:
-            return await asyncio.sleep(3600)
-        return answer
-
 
 async def case(world):
     world.store.write('keyed.op', 'config', worlds.configuration(
-        [['r-claims', 'host.example', '/claims/', 'unsafe', '1200ms', '400ms', 1,
+        [['r-claims', 'host.example', '/claims/', 'safe', '1200ms', '400ms', 1,
           'claims', 2, False, None]],
         [['claims', '/health', 130, 'h1', False, '3s', 6.6, None, None, None]],
         [['office', ['key-1'], 0, 0, 0]],
@@ -101,7 +72,11 @@
     await asyncio.sleep(2)
     for repeat in range(REPEATS):
         began = time.monotonic()
-        await world.ask(1 + repeat % 3, '/claims/poison', 'POST', b'poison')
+        copies = COPIES if worlds.TROUBLE else 1
+        await asyncio.gather(*(
+            world.ask(1 + (repeat + copy) % 3, '/claims/poison')
+            for copy in range(copies)
+        ))
         await asyncio.sleep(max(began + REPEAT_SECONDS - time.monotonic(), 0))
     traffic.cancel()
     await asyncio.sleep(1.5)
@@ -125,7 +100,7 @@
     while True:
         number = 1 + world.sent % len(ZONES)
         path = f'/claims/{world.sent}'
-        task = asyncio.create_task(world.ask(number, path, 'POST', b'claim'))
+        task = asyncio.create_task(world.ask(number, path))
         tasks.add(task)
         task.add_done_callback(tasks.discard)
         await asyncio.sleep(1 / RATE)
