Review case 10: FAILBACK, a server that starts again while the store is down

Shows that a server that crashed and is back under its id during an outage of the store is taken for warm two seconds too early.

--- a/review/world/world.py
+++ b/review/world/world.py
@@ -265,6 +265,8 @@
         self.waiting = 0
         self.beating = None
         self.crashes = 0
+        #: Whether its entry says what holds.
+        self.is_told = True
         #: Arrivals of requests that were not answered 421: (time, is_cold, id).
         self.arrivals = []
 
@@ -278,7 +280,11 @@
         self.beating = asyncio.create_task(self._beat())
 
     def tell(self):
-        """Writes its entry."""
+        """Writes its entry, unless the store is down."""
+        if self.world.store.down:
+            self.is_told = False
+            return
+        self.is_told = True
         self.seq += 1
         self.world.store.write('keyed.servers', self.name, {
             'service': self.service, 'address': self.address,
@@ -296,7 +302,7 @@
         while True:
             await asyncio.sleep(self.world.beat)
             # The entry changes when more than `seq` changes.
-            if self.warmup_left or was:
+            if self.warmup_left or was or not self.is_told:
                 self.tell()
             was = self.warmup_left
 
