--- a/review/8/case.py
+++ b/review/8/case.py
@@ -56,7 +56,7 @@
 async def case(world):
     world.store.write('keyed.op', 'config', worlds.configuration(
         [['r-claims', 'host.example', '/claims/', 'safe', '1200ms', '400ms', 1,
-          'claims', 2, False, None]],
+          'claims', 1, False, None]],
         [['claims', '/health', 130, 'h1', False, '3s', 6.6, None, None, None]],
         [['office', ['key-1'], 0, 0, 0]],
     ))
