--- a/review/world/world.py
+++ b/review/world/world.py
@@ -95,7 +95,18 @@
         self.server = None
 
     async def open(self):
-        self.server = await asyncio.start_server(self._serve, self.ip, self.port)
+        for tries in range(40, -1, -1):
+            try:
+                self.server = await asyncio.start_server(
+                    self._serve, self.ip, self.port
+                )
+            except OSError:
+                # A channel of another process may still have the port.
+                if not tries:
+                    raise
+                await asyncio.sleep(0.05)
+            else:
+                break
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def close(self, reset=True):
