--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,8 @@
 RATE_COLD, OVERSHOOT, SLACK = 6.6, 1.5, 5
 BOUND = RATE_COLD * OVERSHOOT + SLACK
 WARMUP = 3.0
-SERVICES = ('claims', 'settlement')
+#: The dispatchers of the two are different instances: at most one coordinates.
+SERVICES = ('claims', 'invoices')
 #: Requests a second for each service of two servers with 2 slots and 40 ms.
 RATE = 70
 ZONES = ('north', 'south', 'west', 'north', 'south', 'west')
