--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,8 +4,9 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'world'))
-import world as worlds  # noqa: E402
+sys.dont_write_bytecode = True
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+import stand_in_world as worlds  # noqa: E402
 
 #: As in the site file: `warmup_per_s`, and the bounds that the pages give.
 RATE_COLD, OVERSHOOT, SLACK = 6.6, 1.5, 5
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # is nothing to build. This checks that they can be read by the Python at hand.
 set -eu
 cd "$(dirname "$0")"
-for file in world/world.py */case.py; do
+for file in stand_in_world.py 6/case.py 7/case.py 8/case.py 9/case.py 10/case.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
--- a/review/world/world.py
+++ b/review/stand_in_world.py
@@ -21,7 +21,7 @@
 import time
 import tomllib
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 FRONT, READY, CONTROL, STORE = 28388, 28384, 28381, 28382
 LAST_KEY = 65535
 #: Bytes that a client sends at once.
