--- a/review/8/case.py
+++ b/review/8/case.py
@@ -5,8 +5,9 @@
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'world'))
-import world as worlds  # noqa: E402
+sys.dont_write_bytecode = True
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+import stand_in_world as worlds  # noqa: E402
 
 ZONES = ('north', 'south', 'west')
 SERVERS = 9
@@ -26,11 +27,14 @@
 class Server(worlds.Server):
     """A server that the request `/claims/poison` crashes."""
 
+    is_falling = False
+
     async def run(self, message, path, request_id):
         if path != '/claims/poison':
             return await super().run(message, path, request_id)
         await asyncio.sleep(0.02)
-        if not self.beating.cancelled():
+        if not self.is_falling:
+            self.is_falling = True
             asyncio.create_task(self.fall())
         return await asyncio.sleep(3600)
 
@@ -51,6 +55,7 @@
         self.cold_until = time.monotonic() + 3.0
         self.world.note('is back', self.name)
         await self.start()
+        self.is_falling = False
 
 
 async def case(world):
