--- a/src/bilberryglade/_values/site.py
+++ b/src/bilberryglade/_values/site.py
@@ -44,3 +44,5 @@
     processor: float = 1
     #: Bandwidth of its link, in Mbit/s.
     link_mbps: float = USUAL_LINK_MBPS
+    #: Names of the optional behaviours that the deployment asks for.
+    contracts: frozenset[str] = frozenset()
--- a/src/bilberryglade/platform/node_file.py
+++ b/src/bilberryglade/platform/node_file.py
@@ -45,6 +45,7 @@
         link_mbps=process.get('limits', {}).get(
             'link_mbps', site.USUAL_LINK_MBPS
         ),
+        contracts=frozenset(node['terms'].get('contracts', ())),
     )
 
 
--- a/src/bilberryglade_schema/provider.py
+++ b/src/bilberryglade_schema/provider.py
@@ -100,6 +100,7 @@
     """
 
     bounds: dict[str, Any]
+    contracts: NotRequired[list[str]]
 
 
 class Columns(TypedDict):
