A forwarded answer without a status tells nothing of its request

What callers saw: an instance passed on, as an answer, whatever number a peer's message held as its status, 0 and 1000 too. Answers of targets, to orders, to looks at a target and of the store were tried with twelve odd statuses, on new connections and ones in use again: each was refused as malformed before.

Cause: the status line is checked where bytes are read, the peer message is not. Now a status outside 200 to 599 makes the outcome unknown.

--- a/src/bilberryglade/_delivery/messages.py
+++ b/src/bilberryglade/_delivery/messages.py
@@ -2,6 +2,8 @@
 
 import time
 
+import loguru
+
 from bilberryglade._peers import handlers
 from bilberryglade._values import outcomes, requests
 from bilberryglade_schema import peer
@@ -96,8 +98,19 @@
 
 
 def outcome_from(message: peer.Answer) -> outcomes.Outcome:
-    """Returns the outcome that `message` carries."""
+    """Returns the outcome that `message` carries.
+
+    An answer whose status is none tells nothing: the request may have run.
+    """
     if message['outcome'] == 'answered':
+        if not outcomes.is_final(message['status']):
+            loguru.logger.warning(
+                'status {} of {} from {} is none',
+                message['status'],
+                message['request_id'],
+                message['sender'],
+            )
+            return outcomes.Unknown(outcomes.Reason.answer_lost)
         return outcomes.Answered(
             status=message['status'],
             headers=_decode_headers(message['headers']),
--- a/src/bilberryglade/_values/outcomes.py
+++ b/src/bilberryglade/_values/outcomes.py
@@ -49,6 +49,11 @@
     held_off = 'held_off'
 
 
+#: Bounds of the statuses that end an exchange; those below are interim.
+LEAST_FINAL_STATUS: typing.Final = 200
+MOST_FINAL_STATUS: typing.Final = 599
+
+
 class Answered(typing.NamedTuple):
     """A target's whole answer."""
 
@@ -75,6 +80,11 @@
 Outcome: typing.TypeAlias = Answered | NotRun | Unknown
 
 
+def is_final(status: int) -> bool:
+    """Returns whether a number is the status of a final answer (RFC 9110)."""
+    return LEAST_FINAL_STATUS <= status <= MOST_FINAL_STATUS
+
+
 def after_all(sends: abc.Sequence[Outcome], own: Outcome) -> Outcome:
     """Returns what became of a request by all its sends, given in order.
 
