Cold spells that an entry prolongs are relayed to all instances

Cause: the facts that make an entry news were listed by hand, and held only whether a target is cold, not until when. Now every field counts but the sequence, the offset and, within 0.25 s, the end of the same spell.

--- a/src/bilberryglade/_targets/directory.py
+++ b/src/bilberryglade/_targets/directory.py
@@ -8,6 +8,9 @@
 RETURN_SECONDS: typing.Final = 2.0
 #: Age of what is known from which the store counts as having been away.
 GAP_SECONDS: typing.Final = 1.6
+#: Seconds by which the end of one cold spell may seem to move: an entry tells
+#: what is left, and is read some time after it was written.
+COLD_TOLERANCE_SECONDS: typing.Final = 0.25
 
 
 class Life(typing.NamedTuple):
@@ -178,20 +181,26 @@
 
 
 def is_change(before: Target | None, after: Target | None) -> bool:
-    """Tells whether an entry matters beyond being a sign of life."""
+    """Tells whether an entry matters beyond being a sign of life.
+
+    Every field matters but a few that are named, so that a field which is added
+    later is relayed from the start.
+    """
     if before is None or after is None:
         return before is not after
-    return _facts(before) != _facts(after)
+    if bool(before.cold_until) != bool(after.cold_until):
+        return True
+    if after.cold_until > before.cold_until + COLD_TOLERANCE_SECONDS:
+        return True
+    return _without_signs(before) != _without_signs(after)
 
 
-def _facts(target: Target) -> tuple[object, ...]:
-    return (
-        target.born,
-        target.is_draining,
-        target.address,
-        target.places,
-        bool(target.cold_until),
-    )
+def _without_signs(target: Target) -> Target:
+    """Returns `target` without what each of its entries changes.
+
+    The end of a cold spell, which each entry tells anew, is compared apart.
+    """
+    return target._replace(sequence=0, offset=0, cold_until=0)
 
 
 def _what_changed(before: Target | None, after: Target) -> str:
--- a/src/bilberryglade/_targets/tests/test_directory.py
+++ b/src/bilberryglade/_targets/tests/test_directory.py
@@ -103,3 +103,33 @@
                 after = directory.drop(before, 't', 101, keep_until)
                 found = directory.changes(before, after)
                 self.assertEqual([change.what for change in found], [word])
+
+
+class NewsTests(unittest.TestCase):
+    """Entries that other instances must know of."""
+
+    def test_each_field_but_signs_of_life_is_news(self) -> None:
+        """Guards against a fact that only the reading instance knows."""
+        cold = samples.target(cold_until=50.0)
+        changed: dict[str, typing.Any] = {
+            name: not known if isinstance(known, bool) else known * 3
+            for name, known in cold._asdict().items()
+        }
+        changed['used_until'] = 9.0
+        for name, new in changed.items():
+            with self.subTest(field=name):
+                self.assertNotEqual(getattr(cold, name), new)
+                is_news = directory.is_change(
+                    cold, cold._replace(**{name: new})
+                )
+                self.assertEqual(is_news, name not in {'sequence', 'offset'})
+
+    def test_cold_spell_that_ends_later_is_news(self) -> None:
+        """Guards against full load on a target that became cold once more."""
+        cold = samples.target(cold_until=50.0)
+        for seconds, is_news in ((0.1, False), (-0.1, False), (2.5, True)):
+            with self.subTest(seconds=seconds):
+                later = cold._replace(cold_until=50.0 + seconds, offset=101)
+                self.assertEqual(directory.is_change(cold, later), is_news)
+        warm = cold._replace(cold_until=0, offset=101)
+        self.assertTrue(directory.is_change(cold, warm))
