Lab: processor time of one instance, idle and for a request

Nothing measured what an instance of the platform costs by itself. measure-processor runs it as a process beside a fleet, targets and callers, and tells its idle share of a core and the processor time of a request.

--- a/src/bilberryglade_lab/__main__.py
+++ b/src/bilberryglade_lab/__main__.py
@@ -4,6 +4,7 @@
     demo_program,
     measure_control,
     measure_intents,
+    measure_processor,
     measure_router,
     programs,
 )
@@ -15,6 +16,7 @@
     demo_program,
     experiment_program,
     measure_intents,
+    measure_processor,
 )
 
 if __name__ == '__main__':
