--- a/src/bilberryglade_lab/measure_processor.py
+++ b/src/bilberryglade_lab/measure_processor.py
@@ -53,6 +53,8 @@
     """What the measured instance used in one period."""
 
     core_seconds: float
+    #: The part of it in the thread of the event loop.
+    loop_seconds: float
     seconds: float
     #: Requests that callers sent to it, by outcome.
     answered: int
@@ -102,13 +104,14 @@
     async def cost(self, rate: float, seconds: float) -> Cost:
         """Sends `rate` requests a second to each instance for a while."""
         assert self.process is not None
-        measured = psutil.Process(self.process.pid)
-        before = sum(measured.cpu_times()[:2])
+        before = _used(self.process.pid)
         began = time.monotonic()
         statuses = await self._load(rate, began, seconds)
         now = time.monotonic()
+        after = _used(self.process.pid)
         return Cost(
-            sum(measured.cpu_times()[:2]) - before,
+            after[0] - before[0],
+            after[1] - before[1],
             now - began,
             statuses.count(200),
             len(statuses) - statuses.count(200),
@@ -200,6 +203,13 @@
                 self.write_entry(name)
 
 
+def _used(pid: int) -> tuple[float, float]:
+    """Returns the seconds of all threads, and of the event loop's alone."""
+    threads = psutil.Process(pid).threads()
+    seconds = {one.id: one.user_time + one.system_time for one in threads}
+    return sum(seconds.values()), seconds[pid]
+
+
 def _configuration() -> bytes:
     """Returns a configuration with a look-up route and one for orders."""
     columns = list(samples.ROUTE_COLUMNS)
@@ -272,12 +282,16 @@
     finally:
         await fleet.end()
     share = idle.core_seconds / idle.seconds
+    loop_share = idle.loop_seconds / idle.seconds
     extra = loaded.core_seconds - share * loaded.seconds
+    loop_extra = loaded.loop_seconds - loop_share * loaded.seconds
     count = loaded.answered + loaded.refused
     consoles.Console().print(
         f'{instances} instances, {targets} targets: '
-        f'idle {share * PERCENT:.2f} % of a core; '
+        f'idle {share * PERCENT:.2f} % of a core '
+        f'({loop_share * PERCENT:.2f} % in the loop); '
         f'{count} requests ({loaded.refused} not answered by targets), '
-        f'{extra / count * MILLISECONDS:.2f} ms each',
+        f'{extra / count * MILLISECONDS:.2f} ms each '
+        f'({loop_extra / count * MILLISECONDS:.2f} ms in the loop)',
         soft_wrap=True,
     )
