Targets: one timeout for an exchange instead of three tasks

The library makes a task for each timeout that it is given, three for an exchange over a kept connection. One timeout around the exchange needs none. The loop still gets one turn before a connection is chosen.

--- a/src/bilberryglade/_targets/sender.py
+++ b/src/bilberryglade/_targets/sender.py
@@ -1,7 +1,6 @@
 """One HTTP exchange with a target: sent once, answered whole, or classified."""
 
 import asyncio
-import time
 import typing
 from http import cookies
 
@@ -99,7 +98,6 @@
         on_fresh: bool,
     ) -> outcomes.Outcome:
         http = self.fresh if on_fresh else self.kept
-        deadline = time.monotonic() + call.seconds
         exchange = connections.Exchange(
             call.marked,
             clock.now() + call.seconds,
@@ -108,16 +106,20 @@
         )
         connections.current.set(exchange)
         try:
-            response = await http.request(
-                _url(call.address, call.path),
-                # The library drops the body of a request named `GET`.
-                call.method.lower(),
-                headers=call.headers,
-                data=call.body,
-                timeouts=_timeouts(call.seconds),
-                stream=True,
-            )
-            return await self._outcome(call.method, response, deadline)
+            async with asyncio.timeout(call.seconds):
+                # The loop reads what has come, so that a connection which its
+                # target has just closed is not chosen.
+                await asyncio.sleep(0)
+                response = await http.request(
+                    _url(call.address, call.path),
+                    # The library drops the body of a request named `GET`.
+                    call.method.lower(),
+                    headers=call.headers,
+                    data=call.body,
+                    timeouts=_timeouts(call.seconds),
+                    stream=True,
+                )
+                return await self._outcome(call.method, response)
         except BROKEN_EXCHANGE as failure:
             _note_foreign(call, exchange, failure)
             exchange.end()
@@ -131,14 +133,12 @@
         self,
         method: str,
         response: aiosonic.HttpResponse,
-        deadline: float,
     ) -> outcomes.Outcome:
         """Returns the answer if it is whole and within bounds."""
         if not answers.is_framed(method, response):
             await response.aclose()
             return outcomes.Unknown(outcomes.Reason.answer_lost)
-        async with asyncio.timeout(deadline - time.monotonic()):
-            body = await answers.read_body(response, self.most_answer_bytes)
+        body = await answers.read_body(response, self.most_answer_bytes)
         if body is None:
             return outcomes.Unknown(outcomes.Reason.too_large)
         headers = answers.headers_of(response)
@@ -179,10 +179,15 @@
 
 
 def _timeouts(seconds: float) -> timeout.Timeouts:
+    """Returns the timeout of connecting alone.
+
+    The library makes a task for each of its timeouts; one around the whole
+    exchange needs none.
+    """
     return timeout.Timeouts(
         sock_connect=min(CONNECT_SECONDS, seconds),
-        sock_read=seconds,
-        request_timeout=seconds,
+        sock_read=None,
+        request_timeout=None,
     )
 
 
