Peers: messages are decoded once, and taken without the library's polling

The library's socket for asyncio looks up the state of the socket up to nine times for a message. A plain socket that the loop watches needs one try.

--- a/src/bilberryglade/_peers/network.py
+++ b/src/bilberryglade/_peers/network.py
@@ -1,6 +1,7 @@
 """Sockets between instances: CURVE for members alone, bounded queues."""
 
 import asyncio
+import re
 import typing
 from collections import abc
 
@@ -11,7 +12,7 @@
 from zmq.auth import asyncio as zap
 
 from bilberryglade._codec import codec
-from bilberryglade._peers import handlers
+from bilberryglade._peers import handlers, receiving
 from bilberryglade._values import clock
 from bilberryglade_schema import peer, settings
 
@@ -37,6 +38,13 @@
 #: Unusable addresses that are told of.
 MOST_UNUSABLE: typing.Final = 50
 
+#: A socket whose calls return at once.
+PlainSocket: typing.TypeAlias = zmq.Socket[bytes]
+#: How a message begins whose first field is a short kind: a small map, the
+#: name of the field, and a text of less than 32 bytes.
+KIND: typing.Final = re.compile(rb'[\x80-\x8f]\xa4kind([\xa0-\xbf])', re.DOTALL)
+LONGEST_KIND: typing.Final = 31
+
 
 class Received(typing.NamedTuple):
     """A decoded message and the handler of its kind."""
@@ -74,8 +82,8 @@
         self.queue_length = queue_length
         self.context = zmq_asyncio.Context(io_threads=1)
         self.authenticator = zap.AsyncioAuthenticator(self.context)
-        self.receiver = self.context.socket(zmq.ROUTER)
-        self.senders: dict[str, zmq_asyncio.Socket] = {}
+        self.receiver = receiving.ReceivingSocket(self.context, zmq.ROUTER)
+        self.senders: dict[str, PlainSocket] = {}
         self.sent_messages = 0
         #: Before encryption and framing.
         self.sent_bytes = 0
@@ -140,19 +148,7 @@
         frames = await arriving
         if is_turn_over:
             self.turn_ends_at = clock.now() + TURN_SECONDS
-        raw = frames[-1]
-        envelope = codec.decode_packed(raw, peer.Envelope)
-        if isinstance(envelope, result.Err):
-            return result.Err(Rejected('undecodable'))
-        handler = handlers.handlers.find(envelope.ok_value['kind'])
-        if handler is None:
-            return result.Err(Rejected('unknown_kind'))
-        message: result.Result[typing.Any, codec.DecodeError | str]
-        message = codec.decode_packed(raw, handler.kind)
-        message = message.and_then(handler.check)
-        if isinstance(message, result.Err):
-            return result.Err(Rejected('malformed'))
-        return result.Ok(Received(handler, message.ok_value))
+        return _read(frames[-1])
 
     def forget(self, addresses: abc.Container[str]) -> None:
         """Closes the sending sockets of peers that are not in `addresses`."""
@@ -172,7 +168,7 @@
         if sender is None:
             return False
         try:
-            zmq.Socket.send(sender, raw, zmq.NOBLOCK)
+            sender.send(raw, zmq.NOBLOCK)
         except zmq.Again:
             return False
         self.sent_messages += 1
@@ -181,9 +177,9 @@
         self.sent_kinds[kind] = Sent(known.messages + 1, known.size + len(raw))
         return True
 
-    def _connect(self, address: str) -> zmq_asyncio.Socket | None:
+    def _connect(self, address: str) -> PlainSocket | None:
         """Returns a new socket; None if no socket takes the address."""
-        sender = self.context.socket(zmq.DEALER)
+        sender: PlainSocket = zmq.Socket(self.context, zmq.DEALER)
         sender.curve_serverkey = self._public_key()
         self._secure(sender)
         self._bound(sender)
@@ -209,14 +205,54 @@
         self.unusable.add(address)
         loguru.logger.warning('no peer can be at {!r}: {}', address, error)
 
-    def _secure(self, socket: zmq_asyncio.Socket) -> None:
+    def _secure(self, socket: PlainSocket) -> None:
         socket.curve_publickey = self._public_key()
         socket.curve_secretkey = self.keys['secret_key'].encode()
 
-    def _bound(self, socket: zmq_asyncio.Socket) -> None:
+    def _bound(self, socket: PlainSocket) -> None:
         socket.set_hwm(self.queue_length)
         socket.maxmsgsize = MAX_MESSAGE_BYTES
         socket.linger = LINGER_MS
 
     def _public_key(self) -> bytes:
         return self.keys['public_key'].encode()
+
+
+def _read(raw: bytes) -> result.Result[Received, Rejected]:
+    """Returns a message with its handler, or why it is skipped.
+
+    Nearly all begin with their kind and are decoded once.
+    """
+    kind = _kind_at_start(raw)
+    handler = handlers.handlers.find(kind)
+    if handler is not None:
+        message = _decoded(raw, handler)
+        if isinstance(message, result.Ok) and message.ok_value['kind'] == kind:
+            return result.Ok(Received(handler, message.ok_value))
+    envelope = codec.decode_packed(raw, peer.Envelope)
+    if isinstance(envelope, result.Err):
+        return result.Err(Rejected('undecodable'))
+    handler = handlers.handlers.find(envelope.ok_value['kind'])
+    if handler is None:
+        return result.Err(Rejected('unknown_kind'))
+    message = _decoded(raw, handler)
+    if isinstance(message, result.Err):
+        return result.Err(Rejected('malformed'))
+    return result.Ok(Received(handler, message.ok_value))
+
+
+def _kind_at_start(raw: bytes) -> str:
+    """Returns the kind of a message that begins with it, or ''."""
+    begin = KIND.match(raw)
+    if begin is None:
+        return ''
+    length = begin[1][0] & LONGEST_KIND
+    return raw[begin.end() : begin.end() + length].decode('latin-1')
+
+
+def _decoded(
+    raw: bytes, handler: handlers.Handler
+) -> result.Result[typing.Any, codec.DecodeError | str]:
+    message: result.Result[typing.Any, codec.DecodeError | str]
+    message = codec.decode_packed(raw, handler.kind)
+    return message.and_then(handler.check)
