Reads of the store no longer grow with records times instances

Each record ended the long polls of all instances at once: 36 configurations in 6 s, or 62 starts, cost a read an instance each. After a read with news an instance pauses in proportion to the fleet (0.5 s at 62 instances, 0.1 s at 12) and is told by its peers meanwhile; calls that the store refuses are repeated less often while the coordinator confirms what is known. Calls are counted by topic, as a metric and in a line each 5 s.

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -29,7 +29,12 @@
 )
 from bilberryglade._limits import desks, pools
 from bilberryglade._membership import candidacy, enrolment, fleet
-from bilberryglade._observability import exchange_counts, peer_traffic
+from bilberryglade._observability import (
+    exchange_counts,
+    peer_traffic,
+    periodic,
+    store_calls,
+)
 from bilberryglade._ownership import key_loads, lease_manager, table_manager
 from bilberryglade._peers import network
 from bilberryglade._routing import catalogue
@@ -232,7 +237,11 @@
         self.router.count_key = self.reporter.count
         self.exchanges = exchange_counts.Exchanges(self.reader, self.steward)
         self.exchanges.watch_peers(self.peers)
-        self.traffic = peer_traffic.PeerTraffic(self.peers)
+        calls = store_calls.StoreCalls(self.candidacy.client.calls_by_topic)
+        self.exchanges.registry.register(calls)
+        self.traffic = periodic.PeriodicLines(
+            (peer_traffic.PeerTraffic(self.peers), calls)
+        )
         self.exchanges.watch_orders(self.steward.lease_manager.log)
         self.exchanges.watch_headers(self.exchange.odd_headers)
         self.front = front.Front(
--- a/src/bilberryglade/_knowledge/operators.py
+++ b/src/bilberryglade/_knowledge/operators.py
@@ -16,6 +16,7 @@
 from bilberryglade._knowledge import (
     catching_up,
     knowledge,
+    pacing,
     reading,
     topics,
 )
@@ -31,7 +32,6 @@
 #: the coordinator's read, the time between two signs of life, and a margin.
 CONFIRMED_SECONDS: typing.Final = 1.2
 LOOK_SECONDS: typing.Final = 0.1
-RETRY_SECONDS: typing.Final = 0.4
 #: Stands for an age that is not known, in messages.
 UNKNOWN_AGE_MS: typing.Final = 1_000_000_000
 
@@ -47,6 +47,8 @@
         #: Seconds at which what is known was the newest for certain.
         self.confirmed_at = -math.inf
         self.catching_up = catching_up.CatchingUp()
+        #: Reads in a row that brought nothing that could be used.
+        self.failures = 0
 
     async def follow(self) -> None:
         """Follows the records until cancelled."""
@@ -55,8 +57,10 @@
             batch = await self._read()
             self.reader.note(TOPIC, batch)
             if isinstance(batch, result.Err) or self._is_stale(batch.ok_value):
-                await asyncio.sleep(RETRY_SECONDS)
+                self.failures += 1
+                await self._wait_to_retry()
                 continue
+            self.failures = 0
             # A long poll says what holds at its end; what it began with is
             # the safe side for a reading of everything.
             read_at = began if batch.ok_value.is_whole else clock.now()
@@ -67,6 +71,9 @@
             self.confirmed_at = max(self.confirmed_at, read_at)
             if self.mark() != before:
                 self._tell_mark()
+            if not self.reader.lease.holds and batch.ok_value.records:
+                count = len(self.reader.members.members)
+                await asyncio.sleep(pacing.operator_pause(count))
 
     def hear_lead(self, lead: messages.Lead) -> None:
         """Compares what the coordinator and this instance know.
@@ -177,6 +184,15 @@
             poll.cancel()
         return await self.reader.client.newest(TOPIC)
 
+    async def _wait_to_retry(self) -> None:
+        """Waits after a failed read, at length only while others confirm."""
+        due_at = clock.now() + pacing.retry_pause(
+            self.failures, is_told_otherwise=True
+        )
+        await asyncio.sleep(pacing.RETRY_SECONDS)
+        while clock.now() < due_at and self._is_confirmed():
+            await asyncio.sleep(LOOK_SECONDS)
+
     def _is_stale(self, batch: stored.Batch) -> bool:
         """Tells whether a reading is older than what is known."""
         return batch.end < self.reader.known.ends.get(TOPIC, 0)
--- a/src/bilberryglade/_membership/enrolment.py
+++ b/src/bilberryglade/_membership/enrolment.py
@@ -17,6 +17,7 @@
 import zmq
 
 from bilberryglade._codec import codec
+from bilberryglade._knowledge import pacing
 from bilberryglade._membership import candidacy, fleet
 from bilberryglade._values import clock, site, stored
 from bilberryglade.platform import store
@@ -83,6 +84,8 @@
         self.unreadable: set[str] = set()
         #: Set while this instance's copy is to be written.
         self.is_copy_due = asyncio.Event()
+        #: Reads of the list in a row that were not answered.
+        self.failures = 0
 
     async def join(self) -> None:
         """Writes this instance's entry; asks until the store took it."""
@@ -112,8 +115,14 @@
                 batch = await self.client.read(MEMBERS_TOPIC, end, WAIT_MS)
             if isinstance(batch, result.Err):
                 end = None
-                await asyncio.sleep(RETRY_SECONDS)
+                self.failures += 1
+                await asyncio.sleep(
+                    pacing.retry_pause(
+                        self.failures, is_told_otherwise=self.lease.is_heard
+                    )
+                )
                 continue
+            self.failures = 0
             end = batch.ok_value.end
             was_listed = self._take(batch.ok_value)
             if not was_listed:
@@ -127,6 +136,9 @@
                 )
                 named = {member.name for member in self.members.others()}
                 self._greet(named - greeted)
+            if batch.ok_value.records:
+                count = len(self.members.members)
+                await asyncio.sleep(pacing.member_pause(count))
 
     async def sweep(self) -> None:
         """Takes silent members off the list while coordinating."""
--- a/src/bilberryglade/platform/store.py
+++ b/src/bilberryglade/platform/store.py
@@ -46,6 +46,8 @@
         self.address = address
         self.http = http
         self.calls = 0
+        #: The same by name of the call and topic.
+        self.calls_by_topic: dict[tuple[str, str], int] = {}
         #: Whether the last call had no answer of its own: connections that are
         #: kept may have fallen silent, or out of step, with its own.
         self.is_doubted = False
@@ -206,6 +208,8 @@
         on_fresh: bool = False,
     ) -> Answer:
         self.calls += 1
+        counted = (name, str(query.get('topic', '')))
+        self.calls_by_topic[counted] = self.calls_by_topic.get(counted, 0) + 1
         call = sender.Call(
             address=self.address,
             method=method,
