Rollouts: a service moves to an ordered version, or back from a bad one

Operators order that a service moves to another version and are told how far that is. Nothing read those orders, and targets of any version got requests as soon as they were listed.

Where the settings' contracts hold `rollout`, targets of a version get requests only if that version is in use or ordered. The coordinator decides the steps of an order (small share, growing shares, everything, sealed, completed, or rolled back), stores each before it tells it, and writes the status. Instances apply the share to their own requests and report counts that only grow; keys of a partitioned service move so that their measured load stays under the share.

--- a/src/bilberryglade/_delivery/permit_broker.py
+++ b/src/bilberryglade/_delivery/permit_broker.py
@@ -145,6 +145,7 @@
                 time_left=message['left_ms'] / MS_PER_SECOND,
                 tried=frozenset(message.get('excluded', ())),
                 has_large_answer=message.get('has_large_answer', False),
+                version=message.get('version', ''),
             ),
         )
         granted = self.ledger.grant(request, clock.now())
@@ -226,6 +227,8 @@
             message['excluded'] = sorted(demand.tried)
         if demand.has_large_answer:
             message['has_large_answer'] = True
+        if demand.version:
+            message['version'] = demand.version
         return await self.pending_asks.wait(
             number,
             lambda: self.members.send(dispatcher, message),
--- a/src/bilberryglade/_delivery/request_sender.py
+++ b/src/bilberryglade/_delivery/request_sender.py
@@ -9,6 +9,7 @@
 from bilberryglade._delivery import permit_broker, send_results
 from bilberryglade._knowledge import reading
 from bilberryglade._membership import fleet
+from bilberryglade._rollouts import exposure
 from bilberryglade._routing import admission
 from bilberryglade._targets import choosing, directory, standing
 from bilberryglade._values import clock, outcomes, spreading
@@ -61,17 +62,20 @@
         exchange: Exchange,
         cold_rate_limit: abc.Callable[[str], float],
         broker: permit_broker.PermitBroker,
+        versions: exposure.Exposure,
     ) -> None:
         """`cold_rate_limit` returns the limit for cold targets of a service.
 
         It is in requests a second; 0 means no limit. `broker` ends the permits
-        of requests that were sent with one.
+        of requests that were sent with one. `versions` counts sends by the
+        version of their targets.
         """
         self.reader = reader
         self.members = members
         self.exchange = exchange
         self.cold_rate_limit = cold_rate_limit
         self.broker = broker
+        self.versions = versions
         #: Health and load of each target incarnation, from own sends to it.
         self.standings: dict[directory.Life, standing.Standing] = {}
         #: Called when a request's connection broke or its answer was malformed.
@@ -119,6 +123,7 @@
         """
         started_at = clock.now()
         self._record_start(target, started_at)
+        self.versions.note_start(target)
         request.progress.begin_send(str(directory.life_of(target)))
         if not admitted.route.repeatable:
             self.in_flight_unrepeatable.add(request.request_id)
@@ -130,7 +135,7 @@
             finished = _finished_send(exchange_result, clock.now() - started_at)
             request.progress.end_send(_text_of(exchange_result.outcome))
         finally:
-            self.in_flight_unrepeatable.discard(request.request_id)
+            self._leave(request, admitted, target, finished)
             self._record_end(target, finished, permit)
         if exchange_result.is_leaving:
             self.on_leaving(target)
@@ -172,6 +177,17 @@
             ):
                 self.standings.pop(incarnation)
 
+    def _leave(
+        self,
+        request: admission.Incoming,
+        admitted: admission.Admitted,
+        target: directory.Target,
+        finished: send_results.FinishedSend,
+    ) -> None:
+        """Takes in that a request is at its target no more."""
+        self.in_flight_unrepeatable.discard(request.request_id)
+        self.versions.note_end(target, admitted.route.name, finished)
+
     def _record_start(self, target: directory.Target, now: float) -> None:
         view = self.view(target)
         current = standing.sent(view.standing)
--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -102,6 +102,8 @@
     deadline: float
     #: Monotonic seconds until which an answer meets the route's latency aim.
     aim_until: float
+    #: Version of the target's software; '' if any in use will do.
+    version: str = ''
 
 
 class Router:
@@ -126,6 +128,7 @@
         self.broker = sender.broker
         self.wait_estimator = wait_estimator.WaitEstimator()
         self.instance_count = instance_count
+        self.versions = sender.versions
         self.crashes = crashes
         #: By route: how far each service is behind its share of the requests.
         self.turns: dict[str, splitting.Turns] = {}
@@ -310,9 +313,7 @@
             if is_partitioned:
                 chosen = await self._choose_owner(job, denied_tables)
             else:
-                targets = self.reader.known.in_use(job.service)
-                tried = frozenset(delivery.targets)
-                chosen = await self._choose_permitted(job, targets, tried, None)
+                chosen = await self._choose_version(job, delivery)
             if not isinstance(chosen, choosing.Refusal):
                 return chosen
             if not choosing.is_worth_waiting(
@@ -323,6 +324,34 @@
                 chosen.retry_seconds + random.random() * HOLD_SPREAD_SECONDS
             )
 
+    async def _choose_version(
+        self, job: Job, delivery: DeliveryResult
+    ) -> ChosenTarget | choosing.Refusal:
+        """Returns a target of the version whose turn it is.
+
+        While a version is on trial, the one in use stands in for it.
+        """
+        tried = frozenset(delivery.targets)
+        version = self.versions.version_for(job.service, is_repeat=bool(tried))
+        while True:
+            chosen = await self._choose_permitted(
+                job._replace(version=version),
+                self.versions.targets(job.service, version),
+                tried,
+                None,
+            )
+            if isinstance(chosen, choosing.Refusal):
+                version = self.versions.instead_of(job.service, version)
+                if not version:
+                    return chosen
+            elif self.versions.is_closed(chosen.target):
+                self._return_permit(chosen.permit)
+                return choosing.Refusal(
+                    outcomes.Reason.held_off, OWNER_POLL_SECONDS
+                )
+            else:
+                return chosen
+
     async def _choose_owner(
         self, job: Job, denied_tables: owners.Tables
     ) -> ChosenTarget | choosing.Refusal:
@@ -404,6 +433,7 @@
             time_left=job.deadline - now,
             tried=tried,
             has_large_answer=job.admitted.route.has_large_answers,
+            version=job.version,
         )
 
     def _return_permit(
@@ -450,7 +480,7 @@
         target = known.directory.targets.get(owned.entry.owner.target)
         if target is None or target.born != owned.entry.owner.born:
             return None
-        if known.is_out(target.failure_domain):
+        if known.is_out(target.failure_domain) or not known.allows(target):
             return None
         if target.is_draining and target.used_until <= clock.now():
             return None
--- a/src/bilberryglade/_delivery/tests/test_request_sender.py
+++ b/src/bilberryglade/_delivery/tests/test_request_sender.py
@@ -35,6 +35,7 @@
             mock.Mock(),
             cold_rate_limit=lambda _: 20,
             broker=mock.Mock(),
+            versions=mock.Mock(),
         )
 
 
--- a/src/bilberryglade/_delivery/tests/test_router.py
+++ b/src/bilberryglade/_delivery/tests/test_router.py
@@ -124,6 +124,7 @@
         self.table_manager = table_manager
         self.outcomes = {'t1': first, 't2': second}
         self.broker = mock.AsyncMock()
+        self.versions = mock.Mock()
         self.broker.request_permit.return_value = None
         self.sent: list[str] = []
 
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -32,6 +32,12 @@
 from bilberryglade._observability import exchange_counts, peer_traffic
 from bilberryglade._ownership import key_loads, lease_manager, table_manager
 from bilberryglade._peers import network
+from bilberryglade._rollouts import (
+    exposure,
+    key_plans,
+    manager,
+    peer_handlers as rollout_handlers,
+)
 from bilberryglade._routing import catalogue
 from bilberryglade._targets import directory, sender
 from bilberryglade._values import clock, site
@@ -64,7 +70,14 @@
 STOP_MARGIN_PART: typing.Final = 0.15
 #: Seconds for the last answers to go out.
 FLUSH_SECONDS: typing.Final = 0.3
-REGISTERED: typing.Final = (peer_handlers, permit_handlers, folds)
+REGISTERED: typing.Final = (
+    peer_handlers,
+    permit_handlers,
+    rollout_handlers,
+    folds,
+)
+#: Name of the contract by which versions are looked at.
+ROLLOUT: typing.Final = 'rollout'
 
 
 class Parts:
@@ -139,6 +152,7 @@
             self.steward,
             self.crashes,
         )
+        self._wire_rollouts(client)
         self._wire_requests()
 
     def instances(self) -> int:
@@ -176,9 +190,9 @@
         """Returns the owner named, or all targets of a service in use."""
         known = self.reader.known
         if not owner:
-            return known.in_use(service)
+            return self.rollouts.exposure.targets(service, '')
         target = known.directory.targets.get(owner)
-        return [] if target is None else [target]
+        return [target] if target and known.allows(target) else []
 
     def is_ready(self) -> bool:
         """Tells whether callers may be sent here."""
@@ -196,19 +210,38 @@
         self.ledger.expire(clock.now(), lives)
         self.load_sum.forget_unlisted(listed.targets)
 
+    def _wire_rollouts(self, client: store.StoreClient) -> None:
+        own = exposure.Exposure(
+            self.fleet, self.reader, self.place.bounds.rollback
+        )
+        self.rollouts = manager.Manager(
+            self.candidacy,
+            client,
+            own,
+            self.place.bounds,
+            key_plans.Holders(self.steward),
+        )
+        if ROLLOUT in self.place.contracts:
+            own.start()
+            plans = key_plans.KeyPlans(
+                self.steward.candidates, self.rollouts.rollout_of
+            )
+            self.steward.plan_move = plans.plan
+
     def _wire_requests(self) -> None:
         self.pools = pools.Pools(self.fleet, self.candidacy, self.organisations)
         self.desks = desks.Desks(self.fleet, self.candidacy, self.pools)
         self.candidacy.on_start.append(self.pools.begin)
         self.ledger = permits.PermitLedger(self.targets_of, self.cold_spacing)
         self.dispatching = permit_broker.PermitBroker(self.fleet, self.ledger)
-        self.exchange = exchange.TargetExchange(self.targets)
+        target_exchange = exchange.TargetExchange(self.targets)
         self.sends = request_sender.RequestSender(
             self.reader,
             self.fleet,
-            self.exchange,
+            target_exchange,
             self.cold_room,
             self.dispatching,
+            self.rollouts.exposure,
         )
         self.reporter = key_loads.Reporter(
             self.fleet,
@@ -234,7 +267,7 @@
         self.exchanges.watch_peers(self.peers)
         self.traffic = peer_traffic.PeerTraffic(self.peers)
         self.exchanges.watch_orders(self.steward.lease_manager.log)
-        self.exchanges.watch_headers(self.exchange.odd_headers)
+        self.exchanges.watch_headers(target_exchange.odd_headers)
         self.front = front.Front(
             self.router, self.exchanges.take, self.caller_bounds
         )
@@ -276,6 +309,8 @@
             parts.reader.follow_targets(),
             parts.steward.run(),
             parts.reporter.run(),
+            parts.rollouts.run(),
+            parts.rollouts.records.run(),
             parts.announcer.run(),
             self._keep_house(),
             self._receive(),
--- a/src/bilberryglade/_knowledge/knowledge.py
+++ b/src/bilberryglade/_knowledge/knowledge.py
@@ -6,6 +6,7 @@
 import loguru
 
 from bilberryglade._knowledge import left_out, topics
+from bilberryglade._rollouts import orders as rollout_orders
 from bilberryglade._routing import catalogue as catalogues
 from bilberryglade._targets import directory as directories
 from bilberryglade._values import stored
@@ -46,6 +47,12 @@
     #: Name of the instance that read or relayed what is newest of each topic.
     source: immutables.Map[str, str] = immutables.Map()
     omitted: left_out.LeftOut = left_out.LeftOut()
+    #: Orders to move a service to another version, by service.
+    orders: immutables.Map[str, rollout_orders.Order] = immutables.Map()
+    #: Whether only targets of allowed versions are used.
+    is_versioned: bool = False
+    #: Versions that may be used now, by service.
+    allowed: immutables.Map[str, frozenset[str]] = immutables.Map()
 
     def age(self, topic: str, now: float) -> float:
         """Returns for how many seconds nothing was heard of a topic."""
@@ -62,13 +69,23 @@
             return None
         return self.catalogue.services.get(name)
 
+    def allows(self, target: directories.Target) -> bool:
+        """Tells whether the version of a target may be used."""
+        if not self.is_versioned:
+            return True
+        return target.version in self.allowed.get(target.service, ())
+
     def in_use(self, service: str) -> list[directories.Target]:
-        """Returns a service's targets outside the domains taken out."""
+        """Returns a service's targets that may be used.
+
+        Those in domains taken out, and of versions not allowed, may not.
+        """
         return [
             target
             for target in self.directory.targets.values()
             if target.service == service
             and not self.is_out(target.failure_domain)
+            and self.allows(target)
         ]
 
 
--- a/src/bilberryglade/_ownership/table_manager.py
+++ b/src/bilberryglade/_ownership/table_manager.py
@@ -45,6 +45,11 @@
 
 #: Tables of key ranges by service.
 ServiceTables: typing.TypeAlias = dict[str, ranges.Table]
+#: Called with a service, its targets, the tables in force and its table.
+PlanMove: typing.TypeAlias = abc.Callable[
+    [str, abc.Sequence[directory.Target], owners.Tables, ranges.Table],
+    planning.Plan | None,
+]
 
 
 class TableManager:
@@ -92,6 +97,9 @@
         self.balanced_at: float = 0
         self.checked_at: float = 0
         self.updates = table_updates.TableUpdates(members)
+        #: Plans a service whose targets are replaced by others; None if the
+        #: usual plan holds.
+        self.plan_move: PlanMove = lambda *_: None
 
     async def run(self) -> None:
         """Takes the tables over and runs rounds while coordinator, until cancelled."""
@@ -283,7 +291,9 @@
         loads = self.load_sum.loads(service)
         weighted = self.candidates.weigh(targets, loads, clock.now())
         before = self._with_reset_fences(service)
-        planned = planning.plan(
+        planned = self.plan_move(
+            service, targets, self.tables, before
+        ) or planning.plan(
             before,
             weighted,
             loads,
--- /dev/null
+++ b/src/bilberryglade/_rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts: a service moves to another version of its software."""
--- a/src/bilberryglade/_targets/choosing.py
+++ b/src/bilberryglade/_targets/choosing.py
@@ -57,6 +57,8 @@
     tried: frozenset[str]
     #: Whether its answer takes a link's time beside the target's.
     has_large_answer: bool = False
+    #: Version of software that alone may run it; '' if any may.
+    version: str = ''
 
 
 class Refusal(typing.NamedTuple):
@@ -176,6 +178,8 @@
 def _is_usable(view: View, demand: Demand, now: float) -> bool:
     if view.target.name in demand.tried or view.standing.held_off_until > now:
         return False
+    if demand.version and view.target.version != demand.version:
+        return False
     if view.target.is_draining and view.target.used_until <= now:
         return False
     if standing.is_paused(view.standing, view.target.offset, now):
--- a/src/bilberryglade/_targets/directory.py
+++ b/src/bilberryglade/_targets/directory.py
@@ -44,6 +44,8 @@
     #: Monotonic seconds until which it may get what no other target can serve,
     #: though it leaves; 0 if it may get nothing more.
     used_until: float = 0
+    #: Version of its software, as its entry names it; '' if it names none.
+    version: str = ''
 
 
 def life_of(target: Target) -> Life:
@@ -188,7 +190,7 @@
     return (
         target.born,
         target.is_draining,
-        target.address,
+        (target.address, target.version),
         target.places,
         bool(target.cold_until),
     )
--- a/src/bilberryglade/_values/site.py
+++ b/src/bilberryglade/_values/site.py
@@ -4,6 +4,11 @@
 
 #: Bandwidth of a link of which nothing is said, in Mbit/s.
 USUAL_LINK_MBPS: typing.Final = 1000.0
+#: Bounds on a version on trial where the settings name none; those of the
+#: deployments that ask for rollouts.
+EXPOSURE_SHARE: typing.Final = 0.1
+EXPOSURE_SLACK: typing.Final = 50.0
+ROLLBACK_SECONDS: typing.Final = 5.0
 
 
 class Bounds(typing.NamedTuple):
@@ -25,6 +30,12 @@
     #: Requests a second of a cold target: factor of its rate, and addition.
     cold_factor: float
     cold_slack: float
+    #: Requests that a version on trial may get between its order and its
+    #: deadline: a share of those of its service, and a number beyond that.
+    exposure_share: float = EXPOSURE_SHARE
+    exposure_slack: float = EXPOSURE_SLACK
+    #: A bad version gets no request so long after its 50th bad answer.
+    rollback: float = ROLLBACK_SECONDS
 
 
 class Site(typing.NamedTuple):
--- a/src/bilberryglade/platform/entries.py
+++ b/src/bilberryglade/platform/entries.py
@@ -39,5 +39,6 @@
             cold_until=now + cold_seconds if cold_seconds else 0,
             sequence=entry['seq'],
             offset=record.offset,
+            version=entry.get('config_version', ''),
         ),
     )
--- a/src/bilberryglade/platform/folds.py
+++ b/src/bilberryglade/platform/folds.py
@@ -7,10 +7,11 @@
 import result
 
 from bilberryglade._knowledge import knowledge, left_out, topics
+from bilberryglade._rollouts import orders
 from bilberryglade._routing import catalogue
 from bilberryglade._targets import directory
 from bilberryglade._values import stored
-from bilberryglade.platform import catalogues, entries
+from bilberryglade.platform import catalogues, entries, rollouts
 
 CONFIGURATION_KEY: typing.Final = 'config'
 TAKEN_OUT_PREFIX: typing.Final = 'evacuate/'
@@ -21,13 +22,15 @@
     known: knowledge.Knowledge,
     reading: topics.Reading,
 ) -> knowledge.Knowledge:
-    """Takes in configurations, and failure domains taken out or restored."""
+    """Takes in configurations, domains taken out or restored, and orders."""
     configurations: list[stored.Record] = []
     for record in reading.batch.records:
         if record.key == CONFIGURATION_KEY:
             configurations.append(record)
         elif record.key.startswith(TAKEN_OUT_PREFIX):
             known = _with_domain(known, record, reading.read_at)
+        elif record.key.startswith(rollouts.PREFIX):
+            known = _with_order(known, record, reading.read_at)
     known = _with_newest(known, configurations)
     if reading.batch.is_whole:
         known = _without_unnamed(known, reading)
@@ -150,6 +153,45 @@
     return known._replace(domains=known.domains.set(name, domain))
 
 
+def _with_order(
+    known: knowledge.Knowledge,
+    record: stored.Record,
+    read_at: float,
+) -> knowledge.Knowledge:
+    """Takes in an order; one that cannot be read leaves that in force before.
+
+    Only a dropped key withdraws an order: a reading that does not name it may
+    be of a store that has come back older.
+    """
+    service = record.key.removeprefix(rollouts.PREFIX)
+    before = known.orders.get(service)
+    if before is not None and before.offset >= record.offset:
+        return known
+    if record.payload is None:
+        if before is None:
+            return known
+        loguru.logger.info('order to move {} withdrawn', service)
+        return known._replace(orders=known.orders.delete(service))
+    decoded = rollouts.decode(record, read_at)
+    if isinstance(decoded, result.Err):
+        omitted = left_out.note(
+            known.omitted, topics.OPERATOR, record, decoded.err_value
+        )
+        return known._replace(omitted=omitted)
+    order = decoded.ok_value
+    if before is not None and orders.is_repeat(before, order):
+        order = order._replace(read_at=before.read_at)
+    else:
+        loguru.logger.info(
+            'order to move {} to {!r} within {:g} s, offset {}',
+            service,
+            order.version,
+            order.seconds,
+            order.offset,
+        )
+    return known._replace(orders=known.orders.set(service, order))
+
+
 def _without_unnamed(
     known: knowledge.Knowledge,
     reading: topics.Reading,
--- a/src/bilberryglade/platform/node_file.py
+++ b/src/bilberryglade/platform/node_file.py
@@ -64,4 +64,7 @@
         retry_window=durations.seconds_of(table['budget_window']),
         cold_factor=float(table['warmup_overshoot']),
         cold_slack=float(table['warmup_slack']),
+        exposure_share=float(table.get('exposure_share', site.EXPOSURE_SHARE)),
+        exposure_slack=float(table.get('exposure_slack', site.EXPOSURE_SLACK)),
+        rollback=durations.seconds_of(table.get('rollback', '5000ms')),
     )
--- a/src/bilberryglade/platform/tests/deployment.py
+++ b/src/bilberryglade/platform/tests/deployment.py
@@ -41,6 +41,10 @@
     def __init__(self) -> None:
         """Nothing runs."""
         self.listed: dict[str, Listed] = {}
+        #: Versions of targets, where they are not the first.
+        self.target_versions: dict[str, str] = {}
+        #: What the settings of each instance ask for.
+        self.contracts: list[str] = []
         self.entries: list[entry.Entry] = []
         self.network = next(NETWORKS)
         self.tasks: list[asyncio.Task[None]] = []
@@ -95,6 +99,7 @@
             'front': f'{ip}:{CALLERS_PORT}',
             'ready': f'{ip}:{CALLERS_PORT + 1}',
         }
+        node['terms']['contracts'] = self.contracts
         store_table = node['provider']['provider']
         store_table['address'] = self.store.running.address
         place = node_file.read(json.dumps(node).encode()).unwrap()
@@ -154,6 +159,7 @@
             'address': listed.running.address,
             'seq': self.sequence,
             'born': listed.born,
+            'config_version': self.target_versions.get(name, 'v1'),
             **changes,
         }
         self.write('keyed.servers', name, samples.entry(**fields))
--- a/src/bilberryglade/platform/tests/test_target_words.py
+++ b/src/bilberryglade/platform/tests/test_target_words.py
@@ -8,7 +8,7 @@
 
 from bilberryglade._targets import sender
 from bilberryglade._values import outcomes
-from bilberryglade.platform import headers
+from bilberryglade.platform import exchange, headers
 from bilberryglade.platform.tests import deployment
 from bilberryglade_stand_ins import owning_target
 
@@ -253,5 +253,7 @@
         before = len(self.target('c1').arrivals)
         await self.load(0.8, (0,))
         self.assertGreater(len(self.target('c1').arrivals), before)
-        counted = self.world.parts(0).exchange.odd_headers
+        sending = self.world.parts(0).sends.exchange
+        assert isinstance(sending, exchange.TargetExchange)
+        counted = sending.odd_headers
         self.assertGreaterEqual(counted[headers.RETRY_AFTER], 1)
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -333,6 +333,45 @@
     lives: list[OwnerLife]
 
 
+TimeClass: TypeAlias = Annotated[str, Meta(pattern='^[0-9]{1,2}$(?!\\n)')]
+
+
+ShareMillionths: TypeAlias = Annotated[int, Meta(ge=0, le=1000000)]
+
+
+class RolloutCell(TypedDict):
+    """
+    Answers of one target on one route to the sender since the order.
+    """
+
+    target: str
+    version: str
+    route: str
+    good: Whole
+    failed: Whole
+    lost: Whole
+    times: dict[TimeClass, Whole]
+
+
+class RolloutCounts(TypedDict):
+    """
+    What an instance has counted of one service since an order. Every number only grows while the process lives, so that the greater one of two stands.
+    """
+
+    kind: Literal['rollout_counts']
+    sender: str
+    boot: str
+    service: str
+    order: Offset
+    phase: str
+    sent: dict[str, Whole]
+    running: dict[str, Whole]
+    cells: list[RolloutCell]
+
+
+SentPair: TypeAlias = tuple[Whole, Whole]
+
+
 class PermitAsk(TypedDict):
     """
     An instance asks the dispatcher of a target, or of a service, whether a request may be sent. There is one for each request, so that names are short.
@@ -346,6 +385,7 @@
     aim_ms: Milliseconds
     left_ms: Milliseconds
     excluded: NotRequired[list[str]]
+    version: NotRequired[str]
     has_large_answer: NotRequired[bool]
 
 
@@ -375,3 +415,31 @@
     ms: Milliseconds
     hold_ms: NotRequired[Milliseconds]
     load: NotRequired[list[Whole]]
+
+
+class RolloutStage(TypedDict):
+    """
+    How far a rollout is; a record of the store too, without what is only for messages.
+    """
+
+    service: str
+    order: Offset
+    base: str
+    to: str
+    phase: str
+    share: ShareMillionths
+    elapsed_ms: Milliseconds
+    duration_ms: Milliseconds
+    is_paused: NotRequired[bool]
+    sent: NotRequired[dict[str, SentPair]]
+
+
+class RolloutStages(TypedDict):
+    """
+    The coordinator tells how far all rollouts are.
+    """
+
+    kind: Literal['rollout_stages']
+    sender: str
+    term: Offset
+    stages: list[RolloutStage]
--- a/src/bilberryglade_schema/provider.py
+++ b/src/bilberryglade_schema/provider.py
@@ -201,6 +201,27 @@
     warmup_left: NotRequired[TimeLeft]
     seq: Whole
     born: NotRequired[Moment]
+    config_version: NotRequired[str]
+
+
+class RolloutOrder(TypedDict):
+    """
+    An operator's order to move a service to another version.
+    """
+
+    service: str
+    to: str
+    duration: Duration
+
+
+class RolloutStatus(TypedDict):
+    """
+    How far an order to move a service is.
+    """
+
+    service: str
+    state: Literal['active', 'completed', 'rolled_back']
+    to: str
 
 
 class AppendAnswer(TypedDict):
