--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -29,7 +29,11 @@
 )
 from bilberryglade._limits import desks, pools
 from bilberryglade._membership import candidacy, enrolment, fleet
-from bilberryglade._observability import exchange_counts, peer_traffic
+from bilberryglade._observability import (
+    exchange_counts,
+    peer_traffic,
+    rollout_counts,
+)
 from bilberryglade._ownership import key_loads, lease_manager, table_manager
 from bilberryglade._peers import network
 from bilberryglade._rollouts import (
@@ -265,6 +269,9 @@
         self.router.count_key = self.reporter.count
         self.exchanges = exchange_counts.Exchanges(self.reader, self.steward)
         self.exchanges.watch_peers(self.peers)
+        if self.rollouts.exposure.is_on:
+            counts = rollout_counts.RolloutCounts(self.rollouts)
+            self.exchanges.registry.register(counts)
         self.traffic = peer_traffic.PeerTraffic(self.peers)
         self.exchanges.watch_orders(self.steward.lease_manager.log)
         self.exchanges.watch_headers(target_exchange.odd_headers)
--- a/src/bilberryglade/_rollouts/exposure.py
+++ b/src/bilberryglade/_rollouts/exposure.py
@@ -60,6 +60,8 @@
         self.counters: dict[str, counting.Counter] = {}
         #: Requests at targets now, by service and version.
         self.running: dict[str, dict[str, int]] = {}
+        #: Requests sent since the start, by service and version.
+        self.sends: dict[tuple[str, str], int] = {}
         #: Rollouts told in words that this instance does not know.
         self.unknown_phases = 0
 
@@ -182,6 +184,8 @@
         """Counts a request that is sent to a target."""
         if not self.is_on:
             return
+        sent = (target.service, target.version)
+        self.sends[sent] = self.sends.get(sent, 0) + 1
         running = self.running.setdefault(target.service, {})
         running[target.version] = running.get(target.version, 0) + 1
         counter = self.counters.get(target.service)
--- a/src/bilberryglade/_rollouts/manager.py
+++ b/src/bilberryglade/_rollouts/manager.py
@@ -221,7 +221,7 @@
             return
         base = self.exposure.base_of(service)
         if before is not None and before.phase not in phases.FINAL:
-            self.refusals.note(order, 'ordered while another order ran')
+            self.refusals.note(order, 'ordered while another one runs')
             if before.phase in phases.SETTLED:
                 return
             base = before.base
--- a/src/bilberryglade/_rollouts/records.py
+++ b/src/bilberryglade/_rollouts/records.py
@@ -99,13 +99,10 @@
         while True:
             if not self.lease.holds or self.epoch < 0 or not self._has_due():
                 await asyncio.sleep(IDLE_SECONDS)
-            elif not await self._write_next():
+            elif not await self.write_next():
                 await asyncio.sleep(RETRY_SECONDS)
 
-    def _has_due(self) -> bool:
-        return bool(self.due) or self.unclear is not None
-
-    async def _write_next(self) -> bool:
+    async def write_next(self) -> bool:
         """Writes what is due first; returns whether the store took it."""
         write = self.unclear
         if write is None:
@@ -134,6 +131,9 @@
             self.due.pop(place)
         return True
 
+    def _has_due(self) -> bool:
+        return bool(self.due) or self.unclear is not None
+
     def _note_failure(self, write: Write, failure: stored.Failure) -> None:
         self.failures += 1
         loguru.logger.warning(
--- a/src/bilberryglade/_rollouts/stepper.py
+++ b/src/bilberryglade/_rollouts/stepper.py
@@ -23,6 +23,12 @@
 SLACK_PART: typing.Final = 0.5
 #: Part of the bound foreseen at the deadline up to which the share may grow.
 FORESEEN_PART: typing.Final = 0.9
+#: Seconds after which the share is widened for a service with few requests, the
+#: part of the slack that is spread over the order's time for it, and the growth
+#: below which that is left alone.
+WIDEN_SECONDS: typing.Final = 0.8
+WIDEN_SLACK_PART: typing.Final = 0.4
+WORTH_WIDENING: typing.Final = 1.3
 #: Shares of the steps after a good verdict.
 GROWING_SHARES: typing.Final = (0.25, 0.5)
 #: Parts of the order's time: the earliest good verdict, the length of a step,
@@ -156,7 +162,7 @@
         passed >= GROWN_PART - STEP_PART
         and now - rollout.stepped_at >= LEAST_OPEN_PART * rollout.seconds
     )
-    if is_judged or has_time_passed:
+    if is_judged or (has_time_passed and not facts.judged.is_doubtful):
         first = _next_share(rollout, facts, bounds, now)
         return _moved(
             paused._replace(is_paused=False),
@@ -165,7 +171,7 @@
             first,
             'enough good answers' if is_judged else 'no sign of a fault',
         )
-    return paused
+    return _widened(paused, facts, bounds, now)
 
 
 @steps.register(phases.Phase.growing)
@@ -203,6 +209,25 @@
     )
 
 
+def _widened(
+    rollout: Rollout, facts: Facts, bounds: site.Bounds, now: float
+) -> Rollout:
+    """Returns a rollout with a greater share if its service has few requests.
+
+    The slack is then a large part of what the version may get, and a small
+    share alone would bring too few answers for a verdict.
+    """
+    elapsed = now - rollout.began_at
+    if now - rollout.stepped_at < WIDEN_SECONDS or not facts.sent:
+        return rollout
+    foreseen = facts.sent / elapsed * rollout.seconds
+    slack = bounds.exposure_slack * WIDEN_SLACK_PART / foreseen
+    share = min(open_share(bounds) + slack, GROWING_SHARES[0])
+    if share < rollout.share * WORTH_WIDENING:
+        return rollout
+    return rollout._replace(share=share, stepped_at=now)
+
+
 def _next_share(
     rollout: Rollout, facts: Facts, bounds: site.Bounds, now: float
 ) -> float:
--- a/src/bilberryglade/_rollouts/verdict.py
+++ b/src/bilberryglade/_rollouts/verdict.py
@@ -14,17 +14,22 @@
 #: it), so that counts vary more than independent ones; factors on the variance.
 FAILURE_CLUSTERS: typing.Final = 2.0
 SLOW_CLUSTERS: typing.Final = 4.0
-#: Least excess that counts, in answers and as a share of all.
+#: Least excess that counts, in answers and as a share of all. A small choice of
+#: targets avoids slow spells less well than a large one: with three targets up to
+#: 0.18 of a good version's answers were slow beyond what was expected.
 LEAST_FAILURES: typing.Final = 4.0
 FAILED_SHARE: typing.Final = 0.02
 LEAST_SLOW: typing.Final = 5.0
-SLOW_SHARE: typing.Final = 0.15
+SLOW_SHARE: typing.Final = 0.25
 #: Part of the least excess and share that must be left when the worst instance,
 #: or the worst target, is left out.
 SPREAD_PART: typing.Final = 0.4
 #: Excess from which one target alone may be the cause: rollback counts from the
 #: 50th bad answer.
 MANY_BAD: typing.Final = 35.0
+#: Excess from which a version with few answers does not grow.
+DOUBTFUL_FAILURES: typing.Final = 2.0
+DOUBTFUL_SHARE: typing.Final = 0.2
 #: Answers of the new version, in all and by route, that are enough to grow.
 ENOUGH_ANSWERS: typing.Final = 30
 ENOUGH_BY_ROUTE: typing.Final = 8
@@ -58,6 +63,8 @@
     excess: evidence.Excess = evidence.Excess()
     #: Whether there are enough answers to take it for good.
     is_enough: bool = False
+    #: Whether few answers, but many of them, were not good.
+    is_doubtful: bool = False
 
 
 #: Which excess of a score tells of a cause, and from where on.
@@ -91,7 +98,15 @@
                 known, rule, route, (instances, targets)
             ):
                 return Verdict(Cause(cause), route, excess)
-    return Verdict(is_enough=_is_enough(known))
+    whole = _parts(
+        known, rules.entries[Cause.failures], '', evidence.Axis.whole
+    )
+    failures = whole.get('', evidence.Excess())
+    return Verdict(
+        is_enough=_is_enough(known),
+        is_doubtful=failures.beyond
+        >= max(DOUBTFUL_FAILURES, DOUBTFUL_SHARE * failures.tried),
+    )
 
 
 def _parts(
