--- a/src/bilberryglade/_instance/announcing.py
+++ b/src/bilberryglade/_instance/announcing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import typing
+from collections import abc
 
 from bilberryglade._delivery import crash_records
 from bilberryglade._knowledge import departures, operators, topics
@@ -34,6 +35,8 @@
         self.departures = leaving
         self.steward = tables
         self.crashes = crashes
+        #: Called with the name of each instance that has started.
+        self.on_greet: list[abc.Callable[[str], None]] = []
         #: Seconds of the last sign of life.
         self.led_at = float('-inf')
         lease.on_claim.append(self.lead)
@@ -62,6 +65,8 @@
 
     def greet(self, name: str) -> None:
         """Tells a new instance what is known here, if this one coordinates."""
+        for listener in self.on_greet:
+            listener(name)
         if not self.lease.holds:
             return
         self.members.send(name, self.sign_of_life())
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -227,6 +227,7 @@
             self.place.bounds,
             key_plans.Holders(self.steward),
         )
+        self.announcer.on_greet.append(self.rollouts.greet)
         if ROLLOUT in self.place.contracts:
             own.start()
             plans = key_plans.KeyPlans(
--- a/src/bilberryglade/_knowledge/operators.py
+++ b/src/bilberryglade/_knowledge/operators.py
@@ -71,9 +71,9 @@
             self.confirmed_at = max(self.confirmed_at, read_at)
             if self.mark() != before:
                 self._tell_mark()
-            if not self.reader.lease.holds and batch.ok_value.records:
-                count = len(self.reader.members.members)
-                await asyncio.sleep(pacing.operator_pause(count))
+            pause = pacing.operator_pause(len(self.reader.members.members))
+            if pause and batch.ok_value.records and not self._leads():
+                await asyncio.sleep(pause)
 
     def hear_lead(self, lead: messages.Lead) -> None:
         """Compares what the coordinator and this instance know.
@@ -172,8 +172,7 @@
         end = self.reader.known.ends.get(TOPIC)
         if end is None or not self.reader.is_answered.get(TOPIC, False):
             return await self.reader.client.newest(TOPIC)
-        leads = self.reader.lease.holds
-        wait_ms = LEADING_WAIT_MS if leads else FOLLOWING_WAIT_MS
+        wait_ms = LEADING_WAIT_MS if self._leads() else FOLLOWING_WAIT_MS
         poll = asyncio.create_task(self.reader.client.read(TOPIC, end, wait_ms))
         try:
             while not poll.done() and self._is_confirmed():
@@ -197,6 +196,9 @@
         """Tells whether a reading is older than what is known."""
         return batch.end < self.reader.known.ends.get(TOPIC, 0)
 
+    def _leads(self) -> bool:
+        return self.reader.lease.holds
+
     def _is_confirmed(self) -> bool:
         return clock.now() - self.confirmed_at <= CONFIRMED_SECONDS
 
--- a/src/bilberryglade/_knowledge/pacing.py
+++ b/src/bilberryglade/_knowledge/pacing.py
@@ -10,9 +10,11 @@
 import random
 import typing
 
-#: Seconds of pause after a read with news, for each instance of the fleet: the
-#: fleet together reads about 120 times a second at most.
-PAUSE_SECONDS_EACH: typing.Final = 0.008
+#: Instances that read at once without a pause: the reads of so few cost little.
+UNPACED_INSTANCES: typing.Final = 24
+#: Seconds of pause after a read with news, for each instance beyond these: a
+#: fleet of 62 pauses half a second.
+PAUSE_SECONDS_EACH: typing.Final = 0.0132
 #: Bounds of that pause in seconds: a quarter of the two seconds within which a
 #: configuration is to be in force, and the time for which a change of the list
 #: of members may be unknown where nobody says hello.
@@ -34,13 +36,12 @@
 
 def operator_pause(instances: int) -> float:
     """Returns the seconds between two reads of operators' records with news."""
-    return min(instances * PAUSE_SECONDS_EACH, MOST_OPERATOR_PAUSE)
+    return min(_pause(instances), MOST_OPERATOR_PAUSE)
 
 
 def member_pause(instances: int) -> float:
     """Returns the seconds between two reads of the list of members with news."""
-    seconds = instances * PAUSE_SECONDS_EACH * MEMBER_PAUSE_FACTOR
-    return min(seconds, MOST_MEMBER_PAUSE)
+    return min(_pause(instances) * MEMBER_PAUSE_FACTOR, MOST_MEMBER_PAUSE)
 
 
 def retry_pause(failures: int, *, is_told_otherwise: bool) -> float:
@@ -54,3 +55,7 @@
     doublings = min(failures - 1, MOST_DOUBLINGS)
     seconds = min(RETRY_SECONDS * (1 << doublings), MOST_RETRY_SECONDS)
     return seconds * random.uniform(LEAST_RETRY_PART, 1)
+
+
+def _pause(instances: int) -> float:
+    return max(instances - UNPACED_INSTANCES, 0) * PAUSE_SECONDS_EACH
--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -32,7 +32,6 @@
         ),
     )
     parts.announcer.greet(name)
-    parts.rollouts.greet(name)
 
 
 @handlers.handler_for('lead', fleet.Lead)
--- a/src/bilberryglade/_membership/enrolment.py
+++ b/src/bilberryglade/_membership/enrolment.py
@@ -136,9 +136,9 @@
                 )
                 named = {member.name for member in self.members.others()}
                 self._greet(named - greeted)
-            if batch.ok_value.records:
-                count = len(self.members.members)
-                await asyncio.sleep(pacing.member_pause(count))
+            pause = pacing.member_pause(len(self.members.members))
+            if pause and batch.ok_value.records:
+                await asyncio.sleep(pause)
 
     async def sweep(self) -> None:
         """Takes silent members off the list while coordinating."""
--- a/src/bilberryglade/platform/node_file.py
+++ b/src/bilberryglade/platform/node_file.py
@@ -2,6 +2,7 @@
 
 import typing
 
+import loguru
 import result
 
 from bilberryglade._codec import codec
@@ -45,10 +46,19 @@
         link_mbps=process.get('limits', {}).get(
             'link_mbps', site.USUAL_LINK_MBPS
         ),
-        contracts=frozenset(node['terms'].get('contracts', ())),
+        contracts=_contracts(node['terms'].get('contracts', ())),
     )
 
 
+def _contracts(told: object) -> frozenset[str]:
+    """Returns the names of optional behaviours; odd ones ask for nothing."""
+    named = codec.convert(told, list[str])
+    if isinstance(named, result.Err):
+        loguru.logger.warning('contracts not understood: {!r}', told)
+        return frozenset()
+    return frozenset(named.ok_value)
+
+
 def _processor(limits: provider.ProcessLimits) -> float:
     return limits.get('cpu_share', 1) * limits.get('cores', 1)
 
