Instance: fewer wakes and no gathering of all targets while idle

The library's server looks ten times a second whether it is to end, and an instance has three servers: they wait for that now. The wait for the operators' records ends when the confirmation does instead of being looked at. The age at the own turn to read is computed again only after a change of the membership, and housekeeping looks up lives instead of gathering them.

--- a/src/bilberryglade/_delivery/request_sender.py
+++ b/src/bilberryglade/_delivery/request_sender.py
@@ -160,11 +160,7 @@
 
         A standing stays while requests of this instance are at the target.
         """
-        directory_now = self.reader.known.directory
-        listed = {
-            directory.life_of(target)
-            for target in directory_now.targets.values()
-        }
+        listed = directory.Lives(self.reader.known.directory)
         for incarnation in list(self.standings):
             if (
                 incarnation not in listed
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -192,8 +192,7 @@
     def forget_gone(self) -> None:
         """Drops permits that have run out, and targets that have left."""
         listed = self.reader.known.directory
-        lives = {directory.life_of(one) for one in listed.targets.values()}
-        self.ledger.expire(clock.now(), lives)
+        self.ledger.expire(clock.now(), directory.Lives(listed))
         self.load_sum.forget_unlisted(listed.targets)
 
     def _wire_requests(self) -> None:
--- a/src/bilberryglade/_instance/serving.py
+++ b/src/bilberryglade/_instance/serving.py
@@ -19,6 +19,9 @@
 ARRIVAL_GRACE_SECONDS: typing.Final = 0.2
 #: Seconds between looks at a caller of whom nothing is read meanwhile.
 LOOK_SECONDS: typing.Final = 0.1
+#: Seconds between two settings of the date in the headers of answers, which
+#: has whole seconds.
+DATE_SECONDS: typing.Final = 1.0
 #: Extension of the scope: a function that tells whether the caller has left.
 HAS_LEFT: typing.Final = 'bilberryglade.has_left'
 #: Extension of the scope: a function that returns a future which is done once
@@ -205,7 +208,38 @@
 
 
 class Server(uvicorn.Server):
-    """A server that leaves signals to the instance."""
+    """A server that leaves signals to the instance.
+
+    The library looks ten times a second whether it is to end; an instance has
+    three servers, and these looks were most of what woke it while idle.
+    """
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        """Takes the configuration of the server."""
+        #: Set when the server is to end; None while it does not run.
+        self.ending: asyncio.Event | None = None
+        self.is_ending = False
+        super().__init__(config)
+
+    @property
+    def should_exit(self) -> bool:
+        """Whether the server is to end."""
+        return self.is_ending
+
+    @should_exit.setter
+    def should_exit(self, is_ending: bool) -> None:
+        """Ends the server at once, or takes that back."""
+        self.is_ending = is_ending
+        if is_ending and self.ending is not None:
+            self.ending.set()
+
+    async def main_loop(self) -> None:
+        """Sets the date of answers until the server is to end."""
+        self.ending = asyncio.Event()
+        while not await self.on_tick(0):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(DATE_SECONDS):
+                    await self.ending.wait()
 
     @contextlib.contextmanager
     def capture_signals(self) -> abc.Iterator[None]:
--- a/src/bilberryglade/_knowledge/operators.py
+++ b/src/bilberryglade/_knowledge/operators.py
@@ -30,7 +30,8 @@
 #: Age of the last confirmation from which everything is read anew: the wait of
 #: the coordinator's read, the time between two signs of life, and a margin.
 CONFIRMED_SECONDS: typing.Final = 1.2
-LOOK_SECONDS: typing.Final = 0.1
+#: Least time between two looks at the confirmation.
+LEAST_LOOK_SECONDS: typing.Final = 0.1
 RETRY_SECONDS: typing.Final = 0.4
 #: Stands for an age that is not known, in messages.
 UNKNOWN_AGE_MS: typing.Final = 1_000_000_000
@@ -170,7 +171,7 @@
         poll = asyncio.create_task(self.reader.client.read(TOPIC, end, wait_ms))
         try:
             while not poll.done() and self._is_confirmed():
-                await asyncio.wait((poll,), timeout=LOOK_SECONDS)
+                await asyncio.wait((poll,), timeout=self._confirmed_for())
             if poll.done():
                 return poll.result()
         finally:
@@ -181,6 +182,11 @@
         """Tells whether a reading is older than what is known."""
         return batch.end < self.reader.known.ends.get(TOPIC, 0)
 
+    def _confirmed_for(self) -> float:
+        """Returns the seconds until the next look at the confirmation."""
+        left = self.confirmed_at + CONFIRMED_SECONDS - clock.now()
+        return max(left, LEAST_LOOK_SECONDS)
+
     def _is_confirmed(self) -> bool:
         return clock.now() - self.confirmed_at <= CONFIRMED_SECONDS
 
--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -66,6 +66,10 @@
         self.silent: set[str] = set()
         #: Seconds at which the call under way for targets' entries began.
         self.asked_at: float | None = None
+        #: Age of the targets' entries at the own turn, in seconds, and the
+        #: version of the membership that it was computed from.
+        self.turn_age: float = 0
+        self.turn_version = -1
 
     async def follow_targets(self) -> None:
         """Reads the targets' entries in turn until cancelled."""
@@ -225,14 +229,15 @@
         """Returns the seconds until this instance is to read the targets."""
         if self.lease.holds:
             return 0
-        age = self.known.age(topics.TARGETS, clock.now())
-        own = self.members.own.name
-        return (
-            turns.turn_age(
-                own, self.members.near(), topics.TARGETS, self.drain_seconds
+        if self.turn_version != self.members.version:
+            self.turn_version = self.members.version
+            self.turn_age = turns.turn_age(
+                self.members.own.name,
+                self.members.near(),
+                topics.TARGETS,
+                self.drain_seconds,
             )
-            - age
-        )
+        return self.turn_age - self.known.age(topics.TARGETS, clock.now())
 
     def _relay_targets(
         self, fresh: stored.Batch, end: int | None, read_at: float
--- a/src/bilberryglade/_targets/directory.py
+++ b/src/bilberryglade/_targets/directory.py
@@ -1,6 +1,7 @@
 """The targets that are listed in the store, as far as they are known here."""
 
 import typing
+from collections import abc
 
 import immutables
 
@@ -65,6 +66,21 @@
     leaving: immutables.Map[Life, float] = immutables.Map()
 
 
+class Lives(abc.Container[Life]):
+    """The lives that are listed, looked up instead of gathered."""
+
+    def __init__(self, known: Directory) -> None:
+        """Has the lives listed in `known`."""
+        self.targets = known.targets
+
+    def __contains__(self, life: object) -> bool:
+        """Tells whether a life is listed."""
+        if not isinstance(life, Life):
+            return False
+        target = self.targets.get(life.target)
+        return target is not None and target.born == life.born
+
+
 def put(known: Directory, target: Target) -> Directory:
     """Takes in an entry; older ones of the same name change nothing."""
     if target.offset <= known.offsets.get(target.name, -1):
