Targets: lines of a head are taken from what was read already

A head usually comes in one piece, of which each line took three calls of coroutines. Headers of an answer are turned into text once instead of three times. The bounds on lines and heads are the same.

--- a/src/bilberryglade/_targets/answers.py
+++ b/src/bilberryglade/_targets/answers.py
@@ -34,20 +34,23 @@
 )
 
 
-def is_framed(method: str, response: aiosonic.HttpResponse) -> bool:
+#: Headers of an answer: names in lower case with their texts, in order.
+RawHeaders: typing.TypeAlias = list[tuple[str, str]]
+
+
+def is_framed(method: str, status: int, headers: RawHeaders) -> bool:
     """Tells whether the end of a final answer can be told from a cut.
 
     An answer that ends when its connection closes looks whole wherever the
     target died, and an interim answer (1xx) is not the request's own. No
     coding but chunks is undone, and chunks with a length are contradictory.
     """
-    status = response.status_code
     if status < FINAL_STATUS:
         return False
     if method == 'HEAD' or status in NO_BODY_STATUSES:
         return True
-    codings = tuple(map(str.lower, texts_of(response, 'transfer-encoding')))
-    lengths = set(texts_of(response, 'content-length'))
+    codings = tuple(map(str.lower, texts_of(headers, 'transfer-encoding')))
+    lengths = set(texts_of(headers, 'content-length'))
     if codings:
         return codings == CHUNKED and not lengths
     return len(lengths) == 1 and bool(LENGTH.fullmatch(lengths.pop()))
@@ -71,11 +74,11 @@
     return b''.join(parts)
 
 
-def headers_of(response: aiosonic.HttpResponse) -> tuple[outcomes.Header, ...]:
+def headers_of(headers: RawHeaders) -> tuple[outcomes.Header, ...]:
     """Returns every header that is not of the connection, copies included."""
     return tuple(
         outcomes.Header(name, text)
-        for name, text in raw_headers(response)
+        for name, text in headers
         if name not in HOP_HEADERS
     )
 
@@ -85,13 +88,13 @@
     return RUN_STATE in headers
 
 
-def texts_of(response: aiosonic.HttpResponse, wanted: str) -> list[str]:
+def texts_of(headers: RawHeaders, wanted: str) -> list[str]:
     """Returns the texts of a header's copies, in order."""
-    return [text for name, text in raw_headers(response) if name == wanted]
+    return [text for name, text in headers if name == wanted]
 
 
-def raw_headers(response: aiosonic.HttpResponse) -> list[tuple[str, str]]:
-    """Returns names in lower case with their texts, in order.
+def raw_headers(response: aiosonic.HttpResponse) -> RawHeaders:
+    """Returns the headers of an answer.
 
     A character stands for a byte, as in all headers here; the library reads
     UTF-8.
@@ -103,4 +106,4 @@
 
 
 def _as_bytes(text: str) -> str:
-    return text.encode().decode('latin-1')
+    return text if text.isascii() else text.encode().decode('latin-1')
--- a/src/bilberryglade/_targets/connections.py
+++ b/src/bilberryglade/_targets/connections.py
@@ -235,12 +235,12 @@
 
         After the last chunk this is the empty line that ends its trailers.
         """
-        line = lines.whole(await super().readline())
+        line = lines.whole(await self._line())
         if not self.reads_headers:
             return self._size_of(line)
         self._take_header(line)
         while self.is_last_read and self.reads_headers:
-            line = lines.whole(await super().readline())
+            line = lines.whole(await self._line())
             self._take_header(line)
         return line
 
@@ -272,6 +272,23 @@
             )
         super().release()
 
+    async def _line(self) -> bytes:
+        """Returns the next line, as `readline` of the library does.
+
+        A head usually comes in one piece: what was read of it is there, and a
+        line is taken from that without the calls that would wait for more.
+        """
+        reader = self.reader
+        if reader is not None and reader.exception() is None:
+            buffer = reader._buffer  # noqa: WPS437
+            size = buffer.find(b'\n') + 1
+            if 0 < size <= reader._limit:  # noqa: WPS437
+                line = bytes(buffer[:size])
+                del buffer[:size]  # noqa: WPS420
+                reader._maybe_resume_transport()  # noqa: WPS437
+                return line
+        return bytes(await connection.Connection.readline(self))
+
     def _look_after(self, carrier: request_progress.Carrier) -> None:
         """Tells of bytes after a refusal, unless another exchange began."""
         if self.reader is None or self.uses.carrier != carrier:
--- a/src/bilberryglade/_targets/sender.py
+++ b/src/bilberryglade/_targets/sender.py
@@ -135,14 +135,15 @@
         response: aiosonic.HttpResponse,
     ) -> outcomes.Outcome:
         """Returns the answer if it is whole and within bounds."""
-        if not answers.is_framed(method, response):
+        headers = answers.raw_headers(response)
+        status = response.status_code
+        if not answers.is_framed(method, status, headers):
             await response.aclose()
             return outcomes.Unknown(outcomes.Reason.answer_lost)
         body = await answers.read_body(response, self.most_answer_bytes)
         if body is None:
             return outcomes.Unknown(outcomes.Reason.too_large)
-        headers = answers.headers_of(response)
-        return outcomes.Answered(response.status_code, headers, body)
+        return outcomes.Answered(status, answers.headers_of(headers), body)
 
 
 def _cancellations() -> int:
