--- a/src/bilberryglade/_codec/codec.py
+++ b/src/bilberryglade/_codec/codec.py
@@ -5,6 +5,7 @@
 invariant and raises.
 """
 
+import functools
 import re
 import typing
 from collections import abc
@@ -124,7 +125,10 @@
     kind: type[Message],
 ) -> result.Result[Message, DecodeError]:
     """Decodes MessagePack into `kind`."""
-    return attempt(lambda: msgspec.msgpack.decode(raw, type=kind))
+    decoder: msgspec.msgpack.Decoder[Message] = _packed_decoder(
+        typing.cast(typing.Any, kind)
+    )
+    return attempt(lambda: decoder.decode(raw))
 
 
 def decode_yaml(
@@ -168,6 +172,14 @@
         return result.Err(DecodeError(str(error)[:DETAIL_CHARACTERS]))
 
 
+@functools.cache
+def _packed_decoder(
+    kind: abc.Hashable,
+) -> msgspec.msgpack.Decoder[typing.Any]:
+    """Returns the decoder of a kind of message; there are few kinds."""
+    return msgspec.msgpack.Decoder(kind)
+
+
 def _checked_yaml(raw: bytes) -> None:
     depth = 0
     for event in yaml.parse(raw, yaml.SafeLoader):
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -1,5 +1,6 @@
 """Counters and histograms of the platform's requests, and their lines."""
 
+import functools
 import typing
 from collections import abc
 
@@ -146,6 +147,9 @@
             ('service', 'outcome', 'reason'),
             registry=self.registry,
         )
+        # The library takes a lock and checks all labels at each look-up.
+        self._seconds_of = functools.cache(self.seconds.labels)
+        self._outcomes_of = functools.cache(self.outcomes.labels)
         self.registry.register(LeftOutCounts(reader))
         self.pace = pace.Pace(self.registry)
 
@@ -162,10 +166,10 @@
         reason = ''
         if not isinstance(outcome, outcomes.Answered):
             reason = str(outcome.reason)
-        self.seconds.labels(delivered.organisation, delivered.route).observe(
+        self._seconds_of(delivered.organisation, delivered.route).observe(
             seconds
         )
-        self.outcomes.labels(delivered.service, kind, reason).inc()
+        self._outcomes_of(delivered.service, kind, reason).inc()
         known = self.reader.known
         now = clock.now()
         loguru.logger.bind(
