--- a/src/bilberryglade/_knowledge/operators.py
+++ b/src/bilberryglade/_knowledge/operators.py
@@ -31,7 +31,8 @@
 #: Age of the last confirmation from which everything is read anew: the wait of
 #: the coordinator's read, the time between two signs of life, and a margin.
 CONFIRMED_SECONDS: typing.Final = 1.2
-LOOK_SECONDS: typing.Final = 0.1
+#: Least time between two looks at the confirmation.
+LEAST_LOOK_SECONDS: typing.Final = 0.1
 #: Stands for an age that is not known, in messages.
 UNKNOWN_AGE_MS: typing.Final = 1_000_000_000
 
@@ -176,7 +177,7 @@
         poll = asyncio.create_task(self.reader.client.read(TOPIC, end, wait_ms))
         try:
             while not poll.done() and self._is_confirmed():
-                await asyncio.wait((poll,), timeout=LOOK_SECONDS)
+                await asyncio.wait((poll,), timeout=self._confirmed_for())
             if poll.done():
                 return poll.result()
         finally:
@@ -190,7 +191,7 @@
         )
         await asyncio.sleep(pacing.RETRY_SECONDS)
         while clock.now() < due_at and self._is_confirmed():
-            await asyncio.sleep(LOOK_SECONDS)
+            await asyncio.sleep(LEAST_LOOK_SECONDS)
 
     def _is_stale(self, batch: stored.Batch) -> bool:
         """Tells whether a reading is older than what is known."""
@@ -199,6 +200,11 @@
     def _leads(self) -> bool:
         return self.reader.lease.holds
 
+    def _confirmed_for(self) -> float:
+        """Returns the seconds until the next look at the confirmation."""
+        left = self.confirmed_at + CONFIRMED_SECONDS - clock.now()
+        return max(left, LEAST_LOOK_SECONDS)
+
     def _is_confirmed(self) -> bool:
         return clock.now() - self.confirmed_at <= CONFIRMED_SECONDS
 
