Capacity: what each target takes well is learnt from its answers

Cause: a target was always taken to bear its configured places and any number of waiting requests. Targets that slow down before they are full finished fewer requests for it, and targets that queue at most eight got more and hung.

Change: the package _capacity holds registered policies, 'configured' as before and 'learnt'. A dispatcher learns how long work takes by the number at work, in time at the machine's pace, and limits a target only on significant evidence; short trials show other levels. Part of a target's queue is left free for a dispatcher that takes over, and one that leaves hands over what it learnt. 'learnt' is in force where the contracts name pressure or no tenants.

--- /dev/null
+++ b/src/bilberryglade/_capacity/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is learnt of targets; nothing here uses a network."""
--- a/src/bilberryglade/_delivery/permit_broker.py
+++ b/src/bilberryglade/_delivery/permit_broker.py
@@ -88,29 +88,21 @@
         """Requests a permit from the dispatcher of `owner` or of the service.
 
         Returns the permit, a refusal, or None if the dispatcher gives no answer
-        or has no target to choose.
+        or has no target to choose. A policy may ask for more than one: the next
+        one counts exactly as well.
         """
-        self.last_number += 1
-        number = self.last_number
-        dispatcher = self._choose_dispatcher(service, owner)
-        request = permits.PermitRequest(
-            key=(self.members.own.name, number),
-            service=service,
-            owner='' if owner is None else owner.name,
-            demand=demand,
-        )
-        if dispatcher == self.members.own.name:
-            granted = self.ledger.grant(request, clock.now())
-            if isinstance(granted, directory.Target):
-                return GrantedPermit(
-                    directory.life_of(granted), dispatcher, number
-                )
-            return granted
-        answer = await self._ask_dispatcher(dispatcher, request)
-        if answer is None:
-            self._skip_dispatcher(dispatcher)
-            return None
-        return _parse_answer(answer, dispatcher)
+        dispatcher = ''
+        for _ in range(self.ledger.capacity.dispatchers_asked):
+            previous = dispatcher
+            dispatcher = self._choose_dispatcher(service, owner)
+            if dispatcher == previous:
+                return None
+            permit = await self._request_from(
+                dispatcher, service, owner, demand
+            )
+            if permit is not None:
+                return permit
+        return None
 
     def end_permit(
         self, permit: GrantedPermit, finished: send_results.FinishedSend
@@ -182,6 +174,34 @@
             clock.now(),
         )
 
+    async def _request_from(
+        self,
+        dispatcher: str,
+        service: str,
+        owner: directory.Target | None,
+        demand: choosing.Demand,
+    ) -> PermitResult:
+        self.last_number += 1
+        number = self.last_number
+        request = permits.PermitRequest(
+            key=(self.members.own.name, number),
+            service=service,
+            owner='' if owner is None else owner.name,
+            demand=demand,
+        )
+        if dispatcher == self.members.own.name:
+            granted = self.ledger.grant(request, clock.now())
+            if isinstance(granted, directory.Target):
+                return GrantedPermit(
+                    directory.life_of(granted), dispatcher, number
+                )
+            return granted
+        answer = await self._ask_dispatcher(dispatcher, request)
+        if answer is None:
+            self._skip_dispatcher(dispatcher)
+            return None
+        return _parse_answer(answer, dispatcher)
+
     def _choose_dispatcher(
         self, service: str, owner: directory.Target | None
     ) -> str:
@@ -195,8 +215,7 @@
         pool = (service, owner.name) if owner else (service, '')
         ranking = self.rankings.get(pool)
         if ranking is None:
-            domain = owner.failure_domain if owner else ''
-            ranking = rank_members('/'.join(pool), domain, self.members)
+            ranking = rank_pool(service, owner, self.members)
             self.rankings[pool] = ranking
         now = clock.now()
         for name in ranking:
@@ -261,6 +280,18 @@
         return answer
 
 
+def rank_pool(
+    service: str,
+    owner: directory.Target | None,
+    members: fleet.Fleet,
+) -> tuple[str, ...]:
+    """Returns the dispatchers of `owner` or of a service, by rank."""
+    if owner is None:
+        return rank_members(f'{service}/', '', members)
+    pool = f'{service}/{owner.name}'
+    return rank_members(pool, owner.failure_domain, members)
+
+
 def rank_members(
     pool: str,
     failure_domain: str,
--- a/src/bilberryglade/_delivery/permits.py
+++ b/src/bilberryglade/_delivery/permits.py
@@ -15,14 +15,20 @@
 import typing
 from collections import abc
 
+from bilberryglade._capacity import policies
 from bilberryglade._delivery import send_results
 from bilberryglade._targets import choosing, directory, standing
+from bilberryglade._values import clock
 
 #: Failed exchanges count against a target only if two instances had one within
 #: this time; those of one instance may be due to its own network path.
 SHARED_FAILURE_SECONDS: typing.Final = 2.0
 #: Time from the deadline of a request to the expiry of its permit.
 EXPIRY_MARGIN_SECONDS: typing.Final = 0.2
+#: What is known of a send whose end was not reported in time.
+EXPIRED: typing.Final = send_results.FinishedSend(
+    send_results.SendResult.abandoned
+)
 
 #: Name of the requesting instance, and its number of the permit request.
 PermitKey: typing.TypeAlias = tuple[str, int]
@@ -61,13 +67,16 @@
         self,
         find_targets: abc.Callable[[str, str], abc.Sequence[directory.Target]],
         cold_spacing: abc.Callable[[str], float],
+        capacity: policies.Policy | None = None,
     ) -> None:
         """`find_targets` returns the targets that may serve a request.
 
         It is called with the service and the owner of the key, empty if any
         target may be chosen. `cold_spacing` returns the seconds between two
-        requests to a cold target of a service.
+        requests to a cold target of a service. `capacity` says what targets
+        take: their configured places if it is None.
         """
+        self.capacity = capacity or policies.Configured()
         self.find_targets = find_targets
         self.cold_spacing = cold_spacing
         self.permits: dict[PermitKey, Permit] = {}
@@ -94,11 +103,12 @@
             return None
         spacing = self.cold_spacing(request.service)
         views = [
-            self._view(target, spacing, request.key[0]) for target in targets
+            self.capacity.view(self._view(target, spacing, request.key[0]), now)
+            for target in targets
         ]
         chosen = choosing.choose(views, request.demand, now)
         if isinstance(chosen, choosing.Refusal):
-            return chosen
+            return self.capacity.refusal(chosen, views, request.demand, now)
         self._record_grant(request, chosen, now)
         return chosen.target
 
@@ -117,11 +127,17 @@
             return
         incarnation = directory.life_of(permit.target)
         current = standing.ended(self.standings[incarnation])
+        is_known = self._is_about_target(
+            incarnation, key[0], finished.result, now
+        )
+        self.capacity.end(
+            permit.target, key, finished if is_known else EXPIRED, now
+        )
         if finished.hold_seconds:
             holds = self.holds.setdefault(incarnation, {})
             until = now + finished.hold_seconds
             holds[key[0]] = max(holds.get(key[0], 0), until)
-        if self._is_about_target(incarnation, key[0], finished.result, now):
+        if is_known:
             finished = _with_own_count(finished, permit, current.outstanding)
             current = send_results.standing_after(
                 current, permit.target, finished, now
@@ -140,6 +156,7 @@
         ]
         for key in expired:
             permit = self.permits.pop(key)
+            self.capacity.end(permit.target, key, EXPIRED, now)
             incarnation = directory.life_of(permit.target)
             self.standings[incarnation] = standing.ended(
                 self.standings[incarnation]
@@ -153,14 +170,18 @@
             self.standings.pop(incarnation)
             self.last_failures.pop(incarnation, None)
             self.holds.pop(incarnation, None)
+        self.capacity.retain(listed)
 
     def work_seconds(self, since: float) -> dict[str, float]:
         """Returns the usual work time of targets, in seconds by name.
 
         Only targets whose newest load report came at `since` or later.
         """
+        now = clock.now()
         return {
-            incarnation.target: round(standing.usual_seconds(current), 4)
+            incarnation.target: round(
+                self.capacity.work_seconds(incarnation, current, now), 4
+            )
             for incarnation, current in self.standings.items()
             if current.answers and current.reported_at >= since
         }
@@ -190,9 +211,10 @@
         if choosing.is_cold(chosen, now):
             current = current._replace(cold_sent_at=now)
         self.standings[life] = current
+        self.capacity.begin(chosen.target, request.key, now)
         expires_at = now + request.demand.time_left + EXPIRY_MARGIN_SECONDS
         waiting = standing.waiting_rounds(
-            chosen.standing, chosen.target.places, now
+            chosen.standing, choosing.places_of(chosen), now
         )
         self.permits[request.key] = Permit(
             chosen.target, expires_at, 1 + waiting
--- a/src/bilberryglade/_delivery/request_sender.py
+++ b/src/bilberryglade/_delivery/request_sender.py
@@ -6,6 +6,7 @@
 import typing
 from collections import abc
 
+from bilberryglade._capacity import policies
 from bilberryglade._delivery import permit_broker, send_results
 from bilberryglade._knowledge import reading
 from bilberryglade._membership import fleet
@@ -72,6 +73,8 @@
         self.exchange = exchange
         self.cold_rate_limit = cold_rate_limit
         self.broker = broker
+        #: What targets are taken to bear when no dispatcher answers.
+        self.capacity: policies.Policy = policies.Configured()
         #: Health and load of each target incarnation, from own sends to it.
         self.standings: dict[directory.Life, standing.Standing] = {}
         #: Called when a request's connection broke or its answer was malformed.
@@ -98,11 +101,12 @@
     def view(self, target: directory.Target) -> choosing.View:
         """Returns a target with its standing at this instance."""
         current = self.standings.get(directory.life_of(target))
-        return choosing.View(
+        view = choosing.View(
             target,
             current or standing.Standing(),
             may_warm=self._may_warm(target),
         )
+        return self.capacity.view(view, clock.now())
 
     async def send(
         self,
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -10,6 +10,7 @@
 import result
 from starlette import applications, requests, responses, routing
 
+from bilberryglade._capacity import handover, learning, policies
 from bilberryglade._delivery import (
     crash_records,
     crash_storage,
@@ -64,7 +65,13 @@
 STOP_MARGIN_PART: typing.Final = 0.15
 #: Seconds for the last answers to go out.
 FLUSH_SECONDS: typing.Final = 0.3
-REGISTERED: typing.Final = (peer_handlers, permit_handlers, folds)
+REGISTERED: typing.Final = (
+    peer_handlers,
+    permit_handlers,
+    handover,
+    learning,
+    folds,
+)
 
 
 class Parts:
@@ -193,15 +200,19 @@
         """Drops permits that have run out, and targets that have left."""
         listed = self.reader.known.directory
         lives = {directory.life_of(one) for one in listed.targets.values()}
-        self.ledger.expire(clock.now(), lives)
+        self.dispatching.ledger.expire(clock.now(), lives)
         self.load_sum.forget_unlisted(listed.targets)
 
     def _wire_requests(self) -> None:
         self.pools = pools.Pools(self.fleet, self.candidacy, self.organisations)
         self.desks = desks.Desks(self.fleet, self.candidacy, self.pools)
         self.candidacy.on_start.append(self.pools.begin)
-        self.ledger = permits.PermitLedger(self.targets_of, self.cold_spacing)
-        self.dispatching = permit_broker.PermitBroker(self.fleet, self.ledger)
+        capacity = policies.policy_for(self.place.contracts)
+        ledger = permits.PermitLedger(
+            self.targets_of, self.cold_spacing, capacity
+        )
+        self.handover = handover.Handover(self.fleet, self.reader, capacity)
+        self.dispatching = permit_broker.PermitBroker(self.fleet, ledger)
         self.exchange = exchange.TargetExchange(self.targets)
         self.sends = request_sender.RequestSender(
             self.reader,
@@ -210,11 +221,12 @@
             self.cold_room,
             self.dispatching,
         )
+        self.sends.capacity = capacity
         self.reporter = key_loads.Reporter(
             self.fleet,
             self.candidacy,
             self.load_sum.handle_report,
-            self.ledger.work_seconds,
+            ledger.work_seconds,
         )
         self.sends.on_answer_lost = self.crashes.check_target
         self.sends.on_answered = self.crashes.note_answer
@@ -235,6 +247,7 @@
         self.traffic = peer_traffic.PeerTraffic(self.peers)
         self.exchanges.watch_orders(self.steward.lease_manager.log)
         self.exchanges.watch_headers(self.exchange.odd_headers)
+        self.exchanges.watch_capacity(capacity)
         self.front = front.Front(
             self.router, self.exchanges.take, self.caller_bounds
         )
@@ -353,6 +366,7 @@
         parts.router.ends_at = ends_at
         loguru.logger.info('stopping, for {:g} s at most', ends_at - began)
         parts.fleet.send_all(parts.fleet.hello(is_leaving=True))
+        parts.handover.send()
         await parts.candidacy.resign()
         noticed_at = min(began + NOTICE_SECONDS, ends_at)
         await asyncio.sleep(max(noticed_at - clock.now(), 0))
--- a/src/bilberryglade/_knowledge/tests/test_odd_messages.py
+++ b/src/bilberryglade/_knowledge/tests/test_odd_messages.py
@@ -22,6 +22,12 @@
 OWNERS: typing.Final = ({'target': 't', 'born': 1, 'address': '10.0.0.1:80'},)
 ROW: typing.Final = (0, 65_535, 0, 4, 0)
 DIGEST: typing.Final = '0123456789abcdef'
+LEARNT: typing.Final = {  # noqa: WPS407
+    'target': 't',
+    'born': 1,
+    'level': 1,
+    'outstanding': 0,
+}
 
 
 def _table(*rows: object) -> Message:
@@ -96,6 +102,7 @@
     'ask': {'number': 1, 'service': 's', 'aim_ms': -5, 'left_ms': 100},
     'permit': {'number': 1, 'target': 't', 'born': 1},
     'end': {'number': 1, 'ending': 'good', 'ms': 5, 'load': [1, 0, 100]},
+    'capacity': {'targets': [{**LEARNT, 'levels': [[8.5, -2.0, 0.1]]}]},
 }
 NO_TIME: typing.Final = float('nan')
 ENDLESS: typing.Final = float('inf')
@@ -119,6 +126,10 @@
     ('report', {'target_seconds': {'t': ENDLESS}}),
     ('report', {'target_seconds': {'t': -1.0}}),
     ('quota_grant', {'amount': -5}),
+    ('capacity', {'targets': [{**LEARNT, 'levels': [[1, NO_TIME, 0]]}]}),
+    ('capacity', {'targets': [{**LEARNT, 'levels': [[-1, 0, 0]]}]}),
+    ('capacity', {'targets': [{**LEARNT, 'levels': [[1, 0]]}]}),
+    ('capacity', {'targets': [{**LEARNT, 'levels': [], 'level': -1}]}),
     ('relay', {'end': 2**64 - 1}),
     ('relay', {'age_ms': -(2**40)}),
     ('relay', {'records': [{'key': 't', 'offset': -1, 'value': b'x'}]}),
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -7,9 +7,10 @@
 import prometheus_client
 from prometheus_client import metrics_core, registry
 
+from bilberryglade._capacity import policies
 from bilberryglade._delivery import router
 from bilberryglade._knowledge import reading, topics
-from bilberryglade._observability import pace
+from bilberryglade._observability import capacity_gauges, pace
 from bilberryglade._ownership import order_log, table_manager
 from bilberryglade._peers import network
 from bilberryglade._routing import admission
@@ -206,6 +207,10 @@
         """Counts headers of targets that are left out from now on."""
         self.registry.register(OddHeaderCounts(counts))
 
+    def watch_capacity(self, policy: policies.Policy) -> None:
+        """Shows what is learnt of targets from now on."""
+        self.registry.register(capacity_gauges.CapacityGauges(policy))
+
     def scrape(self) -> bytes:
         """Returns all counters as text."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/bilberryglade/_targets/choosing.py
+++ b/src/bilberryglade/_targets/choosing.py
@@ -43,6 +43,10 @@
     may_warm: bool
     #: Shortest time between two requests to it while it is cold.
     cold_spacing: float = COLD_SPACING_SECONDS
+    #: Requests that it may run at the same time; its own places if 0.
+    places: int = 0
+    #: Whether it takes no further request at all now.
+    is_full: bool = False
 
 
 class Demand(typing.NamedTuple):
@@ -78,13 +82,16 @@
     usable = [view for view in views if _is_usable(view, demand, now)]
     if not usable:
         return refuse(views, now)
+    with_room = [view for view in usable if not view.is_full]
+    if not with_room:
+        return _refuse_full(usable, now)
+    usable = with_room
     if demand.has_large_answer:
         usable = _nearby(usable, demand, now) or usable
     best = min(usable, key=lambda view: _cost(view, demand, now))
-    places = best.target.places
-    waiting = standing.waiting_seconds(best.standing, places, now)
+    waiting = standing.waiting_seconds(best.standing, places_of(best), now)
     if waiting > patience(best.standing, demand, now):
-        return Refusal(outcomes.Reason.queue_full, _retry_in(waiting))
+        return Refusal(outcomes.Reason.queue_full, bounded_retry(waiting))
     return best
 
 
@@ -104,7 +111,7 @@
         if view.target.failure_domain == demand.failure_domain
         and not is_cold(view, now)
         and not view.target.is_draining
-        and standing.waiting_seconds(view.standing, view.target.places, now)
+        and standing.waiting_seconds(view.standing, places_of(view), now)
         <= patience(view.standing, demand, now)
     ]
 
@@ -194,8 +201,23 @@
         factor *= LEAVING_FACTOR
     if is_cold(view, now):
         factor *= COLD_FACTOR
-    return standing.cost(view.standing, view.target.places, now) * factor
+    return standing.cost(view.standing, places_of(view), now) * factor
 
 
-def _retry_in(seconds: float) -> float:
+def bounded_retry(seconds: float) -> float:
+    """Returns the time that a refused caller is told, in seconds."""
     return min(max(seconds, LEAST_RETRY_SECONDS), MOST_RETRY_SECONDS)
+
+
+def places_of(view: View) -> int:
+    """Returns how many requests a target may run at the same time."""
+    return view.places or view.target.places
+
+
+def _refuse_full(views: abc.Sequence[View], now: float) -> Refusal:
+    """Returns the refusal for want of room, with the time of the next place."""
+    waiting = min(
+        standing.waiting_seconds(view.standing, places_of(view), now)
+        for view in views
+    )
+    return Refusal(outcomes.Reason.queue_full, bounded_retry(waiting))
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -63,6 +63,18 @@
 """
 
 
+Weight: TypeAlias = Annotated[float, Meta(ge=0, le=1000000)]
+
+
+Logarithm: TypeAlias = Annotated[float, Meta(ge=-20, le=20)]
+
+
+WorkLevel: TypeAlias = tuple[Weight, Logarithm, Weight]
+"""
+Weight, mean and variance of the logarithm of the seconds that work takes at one number of requests at work.
+"""
+
+
 class Hello(TypedDict):
     """
     An instance has started, or is about to stop.
@@ -375,3 +387,25 @@
     ms: Milliseconds
     hold_ms: NotRequired[Milliseconds]
     load: NotRequired[list[Whole]]
+
+
+class LearntTarget(TypedDict):
+    """
+    What a dispatcher has learnt of one life of a target.
+    """
+
+    target: str
+    born: Whole
+    level: Place
+    outstanding: Place
+    levels: list[WorkLevel]
+
+
+class Capacity(TypedDict):
+    """
+    A dispatcher that leaves tells the next one what it has learnt of targets.
+    """
+
+    kind: Literal['capacity']
+    sender: str
+    targets: list[LearntTarget]
