--- a/src/bilberryglade/_capacity/learning.py
+++ b/src/bilberryglade/_capacity/learning.py
@@ -14,6 +14,9 @@
 #: Time between two looks at a target's limit while nothing is answered, in
 #: seconds: by then a trial may have run out.
 STEP_SECONDS: typing.Final = 0.1
+#: Age of the newest sample at the limit from which the average over all levels is
+#: the better figure, in seconds: the target hardly ever has so many requests.
+FRESH_SECONDS: typing.Final = 2.0
 #: Age of the last report from which a dispatcher counts as one that doesn't know
 #: what others have at the target, in seconds.
 UNSEEN_SECONDS: typing.Final = 1.0
@@ -181,11 +184,17 @@
     ) -> float:
         """Returns the time of work at the limit, for each configured place."""
         learning = self.lives.get(life)
-        seconds = None if learning is None else learning.seconds(now)
-        if learning is None or seconds is None:
+        if learning is None:
             return standing.usual_seconds(known)
-        ratio = learning.target.places / learning.usable_places()
-        return standing.usual_seconds(known._replace(seconds=seconds * ratio))
+        # A trial lasts less than a second and must not move keys.
+        level = learning.limit.level
+        sampled_at = learning.curve.levels[level - 1].decayed_at
+        seconds = curve.work_seconds(learning.curve, level, now)
+        if seconds is None or now - sampled_at > FRESH_SECONDS:
+            return standing.usual_seconds(known)
+        used = curve.concurrency_of(learning.curve, level)
+        seconds *= learning.target.places / used
+        return standing.usual_seconds(known._replace(seconds=seconds))
 
     def retain(self, listed: abc.Container[directory.Life]) -> None:
         """Drops lives without requests that are not listed any more."""
--- a/src/bilberryglade/_delivery/tests/test_permit_broker.py
+++ b/src/bilberryglade/_delivery/tests/test_permit_broker.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+from bilberryglade._capacity import learning
 from bilberryglade._delivery import permit_broker, permits, send_results
 from bilberryglade._membership import fleet
 from bilberryglade._targets import choosing, directory
@@ -111,6 +112,25 @@
         assert isinstance(answer, permit_broker.GrantedPermit)
         self.assertNotEqual(answer.dispatcher, 'e1')
 
+    async def test_next_dispatcher_is_asked_at_once(self) -> None:
+        """Under the learnt policy no request is sent past a lost dispatcher.
+
+        The target would get more than it can queue if every instance sent by
+        its own view until it skips the dispatcher.
+        """
+        broker = self.network.brokers['e2']
+        broker.ledger.capacity = learning.LearntPolicy()
+        self.network.brokers.pop('e1')
+        with mock.patch.object(self.network, 'deliver', self.deliver_if_there):
+            answer = await self.request_permit('e2')
+        assert isinstance(answer, permit_broker.GrantedPermit)
+        self.assertNotEqual(answer.dispatcher, 'e1')
+
+    def deliver_if_there(self, address: str, message: typing.Any) -> None:
+        """Delivers a message unless its receiver is lost."""
+        if address in self.network.brokers:
+            FakeNetwork.deliver(self.network, address, message)
+
     async def test_late_permit_is_returned(self) -> None:
         """A permit that comes after the timeout is ended at its dispatcher."""
         answer: messages.PermitAnswer = {
--- a/src/bilberryglade/_ownership/planning.py
+++ b/src/bilberryglade/_ownership/planning.py
@@ -78,8 +78,9 @@
     if planned == table:
         planned = _with_hot_block_moved(planned, candidates, loads, moving)
     if may_balance and planned == table:
+        swamped = _owner_of_hot_block(planned, candidates, loads)
         for _ in range(MAX_BALANCE_MOVES):
-            planned = _balanced(planned, candidates, loads, moving)
+            planned = _balanced(planned, candidates, loads, moving, swamped)
     planned = ranges.merged(planned)
     return Plan(planned, is_changed=planned != ranges.merged(table))
 
@@ -271,21 +272,25 @@
     candidates: abc.Sequence[ranges.Candidate],
     loads: ranges.Loads,
     moving: abc.Set[ranges.Range],
+    swamped: ranges.Owner | None,
 ) -> ranges.Table:
     """Moves some keys of an overloaded owner to the least loaded one.
 
     Takes the most loaded owner that has keys to give. One that is overloaded by
     a single block has none; load of the other owners is balanced all the same.
+    Keys leave the `swamped` owner, which has a hot block, even if no other owner
+    is lightly loaded: their callers would get nothing behind those of the block.
     """
     loads_by_owner = owner_loads(table, candidates, loads)
     weights = {candidate.owner: candidate.weight for candidate in candidates}
     mean = _capped_mean(loads_by_owner.values())
     lightest = min(loads_by_owner, key=loads_by_owner.__getitem__)
-    if loads_by_owner[lightest] > mean * LIGHT_RATIO:
-        return table
-    for donor in sorted(
+    donors = sorted(
         loads_by_owner, key=loads_by_owner.__getitem__, reverse=True
-    ):
+    )
+    if loads_by_owner[lightest] > mean * LIGHT_RATIO:
+        donors = [donor for donor in donors if donor == swamped]
+    for donor in donors:
         if loads_by_owner[donor] < mean * HEAVY_RATIO:
             return table
         if not _is_significant(
@@ -304,6 +309,22 @@
     return table
 
 
+def _owner_of_hot_block(
+    table: ranges.Table,
+    candidates: abc.Sequence[ranges.Candidate],
+    loads: ranges.Loads,
+) -> ranges.Owner | None:
+    """Returns the owner of the hottest block if that alone fills its places."""
+    hottest = max(loads, key=lambda block: loads[block], default=None)
+    if hottest is None:
+        return None
+    key = hottest * ranges.BLOCK_KEYS
+    owner = next(entry.owner for entry in table if entry.last >= key)
+    rates = {candidate.owner: candidate.rate for candidate in candidates}
+    is_hot = loads[hottest] > rates.get(owner, 0) * HOT_LOAD_RATIO
+    return owner if is_hot else None
+
+
 def _is_significant(load: float, share: float) -> bool:
     """Returns whether a load exceeds an owner's share by more than chance."""
     deviation = math.sqrt(load / LOAD_WINDOW_SECONDS)
