Admission: places go to the more urgent requests that can be in time

Cause: permits went to whoever came while the queue was short enough for its own aim. Requests with long aims filled the queue, more urgent ones with short aims were refused, and all refused callers were told the same time, that of one queue. Targets got more than the 8 requests that they queue.

Change: _admission/ holds registered policies. first_come decides as before; by_worth is in force where the contracts of a deployment name pressure. It divides places by urgency with a floor for each kind, refuses early what can't be in its aim while others compete, sends a target at most 6 more than its places, and tells each refused caller a time of its own that has room. The messages ask and permit gain urgency, is_retry, caller_ms, cause and is_drawn; without them an instance decides as before.

--- /dev/null
+++ b/src/bilberryglade/_admission/__init__.py
@@ -0,0 +1,1 @@
+"""Which of the requests that compete for a target get a place there."""
--- /dev/null
+++ b/src/bilberryglade/_admission/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of admission."""
--- a/src/bilberryglade/_delivery/permit_broker.py
+++ b/src/bilberryglade/_delivery/permit_broker.py
@@ -11,6 +11,7 @@
 import random
 import typing
 
+from bilberryglade._admission import urgencies
 from bilberryglade._delivery import permits, send_results
 from bilberryglade._membership import fleet
 from bilberryglade._peers import asks
@@ -145,6 +146,9 @@
                 time_left=message['left_ms'] / MS_PER_SECOND,
                 tried=frozenset(message.get('excluded', ())),
                 has_large_answer=message.get('has_large_answer', False),
+                urgency=urgencies.received(message.get('urgency')),
+                is_retry=message.get('is_retry', False),
+                caller_left=message.get('caller_ms', 0) / MS_PER_SECOND,
             ),
         )
         granted = self.ledger.grant(request, clock.now())
@@ -226,6 +230,12 @@
             message['excluded'] = sorted(demand.tried)
         if demand.has_large_answer:
             message['has_large_answer'] = True
+        if demand.urgency is not None:
+            message['urgency'] = demand.urgency
+        if demand.is_retry:
+            message['is_retry'] = True
+        if demand.caller_left > demand.time_left:
+            message['caller_ms'] = int(demand.caller_left * MS_PER_SECOND)
         return await self.pending_asks.wait(
             number,
             lambda: self.members.send(dispatcher, message),
@@ -258,6 +268,10 @@
         if isinstance(granted, choosing.Refusal):
             answer['reason'] = granted.reason.value
             answer['retry_ms'] = int(granted.retry_seconds * MS_PER_SECOND)
+            if granted.cause:
+                answer['cause'] = granted.cause
+            if granted.is_drawn:
+                answer['is_drawn'] = True
         return answer
 
 
@@ -299,7 +313,12 @@
     if reason is None:
         return None
     retry_ms = message.get('retry_ms', 0)
-    return choosing.Refusal(reason, retry_ms / MS_PER_SECOND)
+    return choosing.Refusal(
+        reason,
+        retry_ms / MS_PER_SECOND,
+        cause=message.get('cause', ''),
+        is_drawn=message.get('is_drawn', False),
+    )
 
 
 def _load_figures(report: standing.Report) -> list[int]:
--- a/src/bilberryglade/_delivery/permits.py
+++ b/src/bilberryglade/_delivery/permits.py
@@ -15,6 +15,7 @@
 import typing
 from collections import abc
 
+from bilberryglade._admission import gate
 from bilberryglade._delivery import send_results
 from bilberryglade._targets import choosing, directory, standing
 
@@ -61,13 +62,16 @@
         self,
         find_targets: abc.Callable[[str, str], abc.Sequence[directory.Target]],
         cold_spacing: abc.Callable[[str], float],
+        admission_gate: gate.Gate | None = None,
     ) -> None:
         """`find_targets` returns the targets that may serve a request.
 
         It is called with the service and the owner of the key, empty if any
         target may be chosen. `cold_spacing` returns the seconds between two
-        requests to a cold target of a service.
+        requests to a cold target of a service. `admission_gate` decides which
+        requests get a permit; in the order of their arrival without it.
         """
+        self.gate = admission_gate or gate.Gate()
         self.find_targets = find_targets
         self.cold_spacing = cold_spacing
         self.permits: dict[PermitKey, Permit] = {}
@@ -96,7 +100,8 @@
         views = [
             self._view(target, spacing, request.key[0]) for target in targets
         ]
-        chosen = choosing.choose(views, request.demand, now)
+        pool = gate.Pool(request.service, request.owner)
+        chosen = self.gate.decide(pool, views, request.demand, now)
         if isinstance(chosen, choosing.Refusal):
             return chosen
         self._record_grant(request, chosen, now)
@@ -133,6 +138,7 @@
 
         `listed` are the target incarnations that are listed in the store.
         """
+        self.gate.forget_past(now)
         expired = [
             key
             for key, permit in self.permits.items()
--- a/src/bilberryglade/_delivery/router.py
+++ b/src/bilberryglade/_delivery/router.py
@@ -9,6 +9,7 @@
 import typing
 from collections import abc
 
+from bilberryglade._admission import gate, jobs, returning
 from bilberryglade._delivery import (
     crash_records,
     last_calls,
@@ -36,11 +37,6 @@
 FIRST_SEND_SHARE: typing.Final = 0.6
 #: Longest random delay of requests that waited until a target takes some again.
 HOLD_SPREAD_SECONDS: typing.Final = 0.05
-#: Largest random extension of a retry-after time, as a share of it; it keeps
-#: refused callers from retrying at the same time.
-RETRY_AFTER_JITTER: typing.Final = 0.5
-#: Longest retry-after time, as a share of the caller's remaining time.
-MAX_RETRY_AFTER_SHARE: typing.Final = 0.3
 
 
 NOT_OWNER: typing.Final = outcomes.NotRun(outcomes.Reason.not_owner)
@@ -70,6 +66,8 @@
     retry_after_ms: int = 0
     #: Seconds that the caller had waited on earlier, refused requests; estimated.
     waited_seconds: float = 0
+    #: Why the admission policy refused; empty if the reason says it all.
+    cause: str = ''
 
     @property
     def outcome(self) -> outcomes.Outcome:
@@ -92,18 +90,6 @@
     permit: permit_broker.GrantedPermit | None = None
 
 
-class Job(typing.NamedTuple):
-    """An admitted request with its service and its time limits."""
-
-    request: admission.Incoming
-    admitted: admission.Admitted
-    service: str
-    #: Monotonic seconds at which the caller or the route gives up.
-    deadline: float
-    #: Monotonic seconds until which an answer meets the route's latency aim.
-    aim_until: float
-
-
 class Router:
     """Routes callers' requests to targets."""
 
@@ -124,6 +110,8 @@
         self.quotas = quotas
         self.sender = sender
         self.broker = sender.broker
+        #: Decides alone for requests whose dispatcher gives no answer.
+        self.gate = gate.for_contracts(own_site.contracts)
         self.wait_estimator = wait_estimator.WaitEstimator()
         self.instance_count = instance_count
         self.crashes = crashes
@@ -158,15 +146,12 @@
         earlier_wait = self._earlier_wait(request, admitted.route)
         delivery = delivery._replace(waited_seconds=earlier_wait)
         if not last_calls.can_finish(
-            longest_seconds(request, admitted.route),
+            jobs.longest_seconds(request, admitted.route),
             self.ends_at - request.arrived_at,
         ):
             refused = outcomes.NotRun(outcomes.Reason.stopping)
-            return self._with_retry_after(
-                request,
-                delivery._replace(own=refused),
-                last_calls.RETRY_SECONDS,
-            )
+            back = returning.Return(last_calls.RETRY_SECONDS)
+            return with_return(request, delivery._replace(own=refused), back)
         quota_wait = None
         if self.crashes.is_quarantined(request):
             refused = outcomes.NotRun(outcomes.Reason.quarantined)
@@ -177,7 +162,7 @@
                 is_late=earlier_wait >= admitted.route.aim,
             )
         if quota_wait is not None:
-            return self._with_retry_after(request, delivery, quota_wait)
+            return with_return(request, delivery, returning.Return(quota_wait))
         job = self._start_job(request, admitted, earlier_wait)
         delivery = delivery._replace(service=job.service)
         delivery = await self._deliver(job, delivery)
@@ -201,7 +186,7 @@
         request: admission.Incoming,
         admitted: admission.Admitted,
         earlier_wait: float,
-    ) -> Job:
+    ) -> jobs.Job:
         route = admitted.route
         turns = self.turns.get(route.name)
         if turns is None or turns.parts != route.parts:
@@ -215,16 +200,17 @@
             self.instance_count(),
             clock.now() - self.started_at,
         )
-        return Job(
+        return jobs.Job(
             request=request,
             admitted=admitted,
             service=service,
-            deadline=request.arrived_at + longest_seconds(request, route),
+            deadline=request.arrived_at + jobs.longest_seconds(request, route),
             aim_until=request.arrived_at + route.aim - earlier_wait,
+            waited_seconds=earlier_wait,
         )
 
     async def _deliver(
-        self, job: Job, delivery: DeliveryResult
+        self, job: jobs.Job, delivery: DeliveryResult
     ) -> DeliveryResult:
         """Sends a request to targets until it is answered or may not be retried.
 
@@ -238,7 +224,7 @@
                 return self._without_target(job, delivery, chosen)
             if delivery.targets and not self._take_retry(job.service):
                 self._return_permit(chosen.permit)
-                return self._with_short_retry_after(job, delivery)
+                return with_short_return(job, delivery)
             tables_at_send = self.table_manager.tables
             outcome = await self.sender.send(
                 job.request,
@@ -250,27 +236,28 @@
             sent = TargetOutcome(chosen.target.name, outcome)
             delivery = delivery._replace(sends=(*delivery.sends, sent))
             if not may_retry(job, delivery):
-                return self._with_short_retry_after(job, delivery)
+                return with_short_return(job, delivery)
             if outcome == NOT_OWNER:
                 denied_tables = tables_at_send
 
     def _without_target(
         self,
-        job: Job,
+        job: jobs.Job,
         delivery: DeliveryResult,
         refusal: choosing.Refusal,
     ) -> DeliveryResult:
         """Returns the result for a request that no target can take now."""
         delivery = delivery._replace(
-            owner=refusal.owner, own=outcomes.NotRun(refusal.reason)
+            owner=refusal.owner,
+            own=outcomes.NotRun(refusal.reason),
+            cause=refusal.cause,
         )
-        if isinstance(delivery.outcome, outcomes.NotRun):
-            return self._with_retry_after(
-                job.request, delivery, refusal.retry_seconds
-            )
-        return delivery
+        if not isinstance(delivery.outcome, outcomes.NotRun):
+            return delivery
+        back = returning.Return(refusal.retry_seconds, refusal.is_drawn)
+        return with_return(job.request, delivery, back)
 
-    def _send_timeout(self, job: Job, delivery: DeliveryResult) -> float:
+    def _send_timeout(self, job: jobs.Job, delivery: DeliveryResult) -> float:
         """Returns the seconds that a target may take to answer.
 
         This is all the remaining time, unless a retry at another target is
@@ -297,7 +284,7 @@
 
     async def _choose(
         self,
-        job: Job,
+        job: jobs.Job,
         delivery: DeliveryResult,
         denied_tables: owners.Tables,
     ) -> ChosenTarget | choosing.Refusal:
@@ -324,7 +311,7 @@
             )
 
     async def _choose_owner(
-        self, job: Job, denied_tables: owners.Tables
+        self, job: jobs.Job, denied_tables: owners.Tables
     ) -> ChosenTarget | choosing.Refusal:
         """Returns the owner of the request's key, or why it cannot serve it.
 
@@ -341,7 +328,7 @@
 
     async def _choose_permitted(
         self,
-        job: Job,
+        job: jobs.Job,
         targets: abc.Sequence[directory.Target],
         tried: frozenset[str],
         owner: directory.Target | None,
@@ -353,7 +340,8 @@
         or a target that is not among `targets`, this instance chooses alone.
         """
         now = clock.now()
-        demand = self._demand(job, now, tried)
+        domain = self.own_site.failure_domain
+        demand = jobs.demand_of(job, domain, tried, now)
         if demand.time_left < MIN_SEND_SECONDS:
             return choosing.Refusal(outcomes.Reason.deadline, 0)
         views = [self.sender.view(target) for target in targets]
@@ -370,9 +358,11 @@
             if answer and answer.incarnation == directory.life_of(target):
                 return self._recheck(ChosenTarget(target, answer), demand)
         self._return_permit(answer)
-        local_demand = self._demand(job, clock.now(), tried)
+        now = clock.now()
+        demand = jobs.demand_of(job, domain, tried, now)
         views = [self.sender.view(target) for target in targets]
-        chosen = choosing.choose(views, local_demand, clock.now())
+        pool = gate.Pool(job.service, owner.name if owner else '')
+        chosen = self.gate.decide(pool, views, demand, now)
         if isinstance(chosen, choosing.Refusal):
             return chosen
         return ChosenTarget(chosen.target)
@@ -392,20 +382,6 @@
             return choosing.refuse([view], clock.now())
         return chosen
 
-    def _demand(
-        self,
-        job: Job,
-        now: float,
-        tried: frozenset[str],
-    ) -> choosing.Demand:
-        return choosing.Demand(
-            failure_domain=self.own_site.failure_domain,
-            aim_left=job.aim_until - now,
-            time_left=job.deadline - now,
-            tried=tried,
-            has_large_answer=job.admitted.route.has_large_answers,
-        )
-
     def _return_permit(
         self, permit: permit_broker.GrantedPermit | None
     ) -> None:
@@ -417,7 +393,7 @@
 
     async def _wait_for_owner(
         self,
-        job: Job,
+        job: jobs.Job,
         denied_tables: owners.Tables,
     ) -> directory.Target | choosing.Refusal:
         """Returns the owner of the request's key.
@@ -456,50 +432,29 @@
             return None
         return target
 
-    def _with_retry_after(
-        self,
-        request: admission.Incoming,
-        delivery: DeliveryResult,
-        base_seconds: float,
-    ) -> DeliveryResult:
-        """Returns `delivery` with a time after which the caller may retry.
 
-        This is `base_seconds` with a random extension, so that refused callers
-        do not all retry at once; at most a share of the caller's remaining time.
-        """
-        retry_seconds = base_seconds * (
-            1 + random.random() * RETRY_AFTER_JITTER
-        )
-        if request.patience is not None:
-            elapsed = clock.now() - request.arrived_at
-            retry_seconds = min(
-                retry_seconds,
-                (request.patience - elapsed) * MAX_RETRY_AFTER_SHARE,
-            )
-        return delivery._replace(
-            retry_after_ms=max(int(retry_seconds * 1000), 1),
-        )
-
-    def _with_short_retry_after(
-        self, job: Job, delivery: DeliveryResult
-    ) -> DeliveryResult:
-        if not isinstance(delivery.outcome, outcomes.NotRun):
-            return delivery
-        return self._with_retry_after(
-            job.request, delivery, choosing.LEAST_RETRY_SECONDS * 2
-        )
+def with_return(
+    request: admission.Incoming,
+    delivery: DeliveryResult,
+    back: returning.Return,
+) -> DeliveryResult:
+    """Returns `delivery` with a time after which the caller may retry."""
+    left = jobs.time_left(request, clock.now())
+    told = returning.told_ms(back, left, random.random())
+    return delivery._replace(retry_after_ms=told)
 
 
-def longest_seconds(
-    request: admission.Incoming, route: catalogue.Route
-) -> float:
-    """Returns the time after which the caller or the route gives up."""
-    if request.patience is None:
-        return route.timeout
-    return min(route.timeout, request.patience)
+def with_short_return(
+    job: jobs.Job, delivery: DeliveryResult
+) -> DeliveryResult:
+    """Returns a `delivery` that was not run with a short time to retry."""
+    if not isinstance(delivery.outcome, outcomes.NotRun):
+        return delivery
+    back = returning.Return(choosing.LEAST_RETRY_SECONDS * 2)
+    return with_return(job.request, delivery, back)
 
 
-def may_retry(job: Job, delivery: DeliveryResult) -> bool:
+def may_retry(job: jobs.Job, delivery: DeliveryResult) -> bool:
     """Returns whether a request may be sent once more.
 
     A request that may have run is retried only if its route is repeatable.
--- a/src/bilberryglade/_delivery/tests/test_router.py
+++ b/src/bilberryglade/_delivery/tests/test_router.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from bilberryglade._admission import jobs
 from bilberryglade._delivery import retry_budget, router
 from bilberryglade._knowledge import knowledge
 from bilberryglade._ownership import owners, ranges
@@ -45,12 +46,12 @@
     )
 
 
-def job(*, repeatable: bool, left: float = 1) -> router.Job:
+def job(*, repeatable: bool, left: float = 1) -> jobs.Job:
     """Returns an admitted request whose deadline is `left` seconds away."""
     now = clock.now()
     request = samples.incoming(arrived_at=now)
     admitted = admission.Admitted(route(repeatable=repeatable), None)
-    return router.Job(request, admitted, 's', now + left, now)
+    return jobs.Job(request, admitted, 's', now + left, now)
 
 
 def sent_once(outcome: outcomes.Outcome) -> router.DeliveryResult:
@@ -175,7 +176,7 @@
         table_manager = mock.Mock(tables=tables(1, 't1'))
         fake_targets = FakeTargets(table_manager, first, second)
         request_router = router.Router(
-            mock.Mock(bounds=BOUNDS, failure_domain='a'),
+            mock.Mock(bounds=BOUNDS, failure_domain='a', contracts=frozenset()),
             reader,
             table_manager,
             mock.Mock(),
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -10,6 +10,7 @@
 import result
 from starlette import applications, requests, responses, routing
 
+from bilberryglade._admission import gate
 from bilberryglade._delivery import (
     crash_records,
     crash_storage,
@@ -200,7 +201,11 @@
         self.pools = pools.Pools(self.fleet, self.candidacy, self.organisations)
         self.desks = desks.Desks(self.fleet, self.candidacy, self.pools)
         self.candidacy.on_start.append(self.pools.begin)
-        self.ledger = permits.PermitLedger(self.targets_of, self.cold_spacing)
+        self.ledger = permits.PermitLedger(
+            self.targets_of,
+            self.cold_spacing,
+            gate.for_contracts(self.place.contracts),
+        )
         self.dispatching = permit_broker.PermitBroker(self.fleet, self.ledger)
         self.exchange = exchange.TargetExchange(self.targets)
         self.sends = request_sender.RequestSender(
@@ -235,6 +240,7 @@
         self.traffic = peer_traffic.PeerTraffic(self.peers)
         self.exchanges.watch_orders(self.steward.lease_manager.log)
         self.exchanges.watch_headers(self.exchange.odd_headers)
+        self.exchanges.watch_admission(self.ledger.gate)
         self.front = front.Front(
             self.router, self.exchanges.take, self.caller_bounds
         )
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -7,9 +7,10 @@
 import prometheus_client
 from prometheus_client import metrics_core, registry
 
+from bilberryglade._admission import gate
 from bilberryglade._delivery import router
 from bilberryglade._knowledge import reading, topics
-from bilberryglade._observability import pace
+from bilberryglade._observability import admission_counts, pace
 from bilberryglade._ownership import order_log, table_manager
 from bilberryglade._peers import network
 from bilberryglade._routing import admission
@@ -179,6 +180,7 @@
             owner=delivered.owner,
             outcome=kind,
             reason=reason,
+            cause=delivered.cause,
             status=status,
             ms=int(seconds * MILLISECONDS),
             sent_ms=_since(request.arrived_at, request.progress.sent_at),
@@ -206,6 +208,10 @@
         """Counts headers of targets that are left out from now on."""
         self.registry.register(OddHeaderCounts(counts))
 
+    def watch_admission(self, counted: gate.Gate) -> None:
+        """Counts decisions on requests that compete from now on."""
+        self.registry.register(admission_counts.Decisions(counted))
+
     def scrape(self) -> bytes:
         """Returns all counters as text."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/bilberryglade/_targets/choosing.py
+++ b/src/bilberryglade/_targets/choosing.py
@@ -57,6 +57,13 @@
     tried: frozenset[str]
     #: Whether its answer takes a link's time beside the target's.
     has_large_answer: bool = False
+    #: 0 is the most urgent; None if its instance did not tell.
+    urgency: int | None = None
+    #: Whether its caller comes back after a refusal.
+    is_retry: bool = False
+    #: Time left until its caller itself gives up, if its route does so earlier;
+    #: else 0.
+    caller_left: float = 0
 
 
 class Refusal(typing.NamedTuple):
@@ -67,20 +74,38 @@
     retry_seconds: float
     #: The owner of the request's key; empty if any target would have done.
     owner: str = ''
+    #: Why an admission policy refused; empty if the reason says it all.
+    cause: str = ''
+    #: Whether the time is drawn for this caller alone, so that it is told as is.
+    is_drawn: bool = False
 
 
-def choose(
+def cheapest(
     views: abc.Sequence[View],
     demand: Demand,
     now: float,
 ) -> View | Refusal:
-    """Returns the target with the lowest expected cost for the request."""
+    """Returns the usable target with the lowest expected cost.
+
+    How long the request waits there is not looked at.
+    """
     usable = [view for view in views if _is_usable(view, demand, now)]
     if not usable:
         return refuse(views, now)
     if demand.has_large_answer:
         usable = _nearby(usable, demand, now) or usable
-    best = min(usable, key=lambda view: _cost(view, demand, now))
+    return min(usable, key=lambda view: _cost(view, demand, now))
+
+
+def choose(
+    views: abc.Sequence[View],
+    demand: Demand,
+    now: float,
+) -> View | Refusal:
+    """Returns the cheapest target if the request can wait for it."""
+    best = cheapest(views, demand, now)
+    if isinstance(best, Refusal):
+        return best
     places = best.target.places
     waiting = standing.waiting_seconds(best.standing, places, now)
     if waiting > patience(best.standing, demand, now):
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -347,6 +347,9 @@
     left_ms: Milliseconds
     excluded: NotRequired[list[str]]
     has_large_answer: NotRequired[bool]
+    urgency: NotRequired[Whole]
+    is_retry: NotRequired[bool]
+    caller_ms: NotRequired[Milliseconds]
 
 
 class PermitAnswer(TypedDict):
@@ -361,6 +364,8 @@
     born: NotRequired[Whole]
     reason: NotRequired[str]
     retry_ms: NotRequired[Milliseconds]
+    cause: NotRequired[str]
+    is_drawn: NotRequired[bool]
 
 
 class PermitEnd(TypedDict):
