--- a/src/bilberryglade/_delivery/permits.py
+++ b/src/bilberryglade/_delivery/permits.py
@@ -15,6 +15,7 @@
 import typing
 from collections import abc
 
+from bilberryglade._admission import gate
 from bilberryglade._capacity import policies
 from bilberryglade._delivery import send_results
 from bilberryglade._targets import choosing, directory, standing
@@ -68,15 +69,18 @@
         find_targets: abc.Callable[[str, str], abc.Sequence[directory.Target]],
         cold_spacing: abc.Callable[[str], float],
         capacity: policies.Policy | None = None,
+        admission_gate: gate.Gate | None = None,
     ) -> None:
         """`find_targets` returns the targets that may serve a request.
 
         It is called with the service and the owner of the key, empty if any
         target may be chosen. `cold_spacing` returns the seconds between two
         requests to a cold target of a service. `capacity` says what targets
-        take: their configured places if it is None.
+        take: their configured places if it is None. `admission_gate` decides
+        which requests get a permit; in the order of their arrival without it.
         """
         self.capacity = capacity or policies.Configured()
+        self.gate = admission_gate or gate.Gate()
         self.find_targets = find_targets
         self.cold_spacing = cold_spacing
         self.permits: dict[PermitKey, Permit] = {}
@@ -106,8 +110,11 @@
             self.capacity.view(self._view(target, spacing, request.key[0]), now)
             for target in targets
         ]
-        chosen = choosing.choose(views, request.demand, now)
+        pool = gate.Pool(request.service, request.owner)
+        chosen = self.gate.decide(pool, views, request.demand, now)
         if isinstance(chosen, choosing.Refusal):
+            if chosen.is_drawn:
+                return chosen
             return self.capacity.refusal(chosen, views, request.demand, now)
         self._record_grant(request, chosen, now)
         return chosen.target
@@ -149,6 +156,7 @@
 
         `listed` are the target incarnations that are listed in the store.
         """
+        self.gate.forget_past(now)
         expired = [
             key
             for key, permit in self.permits.items()
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -10,6 +10,7 @@
 import result
 from starlette import applications, requests, responses, routing
 
+from bilberryglade._admission import gate
 from bilberryglade._capacity import handover, learning, policies
 from bilberryglade._delivery import (
     crash_records,
@@ -243,7 +244,10 @@
         self.candidacy.on_start.append(self.pools.begin)
         capacity = policies.policy_for(self.place.contracts)
         ledger = permits.PermitLedger(
-            self.targets_of, self.cold_spacing, capacity
+            self.targets_of,
+            self.cold_spacing,
+            capacity,
+            gate.for_contracts(self.place.contracts),
         )
         self.handover = handover.Handover(self.fleet, self.reader, capacity)
         self.dispatching = permit_broker.PermitBroker(self.fleet, ledger)
@@ -290,6 +294,7 @@
         self.exchanges.watch_orders(self.steward.lease_manager.log)
         self.exchanges.watch_headers(target_exchange.odd_headers)
         self.exchanges.watch_capacity(capacity)
+        self.exchanges.watch_admission(ledger.gate)
         self.front = front.Front(
             self.router, self.exchanges.take, self.caller_bounds
         )
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -8,10 +8,15 @@
 import prometheus_client
 from prometheus_client import metrics_core, registry
 
+from bilberryglade._admission import gate
 from bilberryglade._capacity import policies
 from bilberryglade._delivery import router
 from bilberryglade._knowledge import reading, topics
-from bilberryglade._observability import capacity_gauges, pace
+from bilberryglade._observability import (
+    admission_counts,
+    capacity_gauges,
+    pace,
+)
 from bilberryglade._ownership import order_log, table_manager
 from bilberryglade._peers import network
 from bilberryglade._routing import admission
@@ -184,6 +189,7 @@
             owner=delivered.owner,
             outcome=kind,
             reason=reason,
+            cause=delivered.cause,
             status=status,
             ms=int(seconds * MILLISECONDS),
             sent_ms=_since(request.arrived_at, request.progress.sent_at),
@@ -215,6 +221,10 @@
         """Shows what is learnt of targets from now on."""
         self.registry.register(capacity_gauges.CapacityGauges(policy))
 
+    def watch_admission(self, counted: gate.Gate) -> None:
+        """Counts decisions on requests that compete from now on."""
+        self.registry.register(admission_counts.Decisions(counted))
+
     def scrape(self) -> bytes:
         """Returns all counters as text."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/bilberryglade/_targets/choosing.py
+++ b/src/bilberryglade/_targets/choosing.py
@@ -63,6 +63,13 @@
     has_large_answer: bool = False
     #: Version of software that alone may run it; '' if any may.
     version: str = ''
+    #: 0 is the most urgent; None if its instance did not tell.
+    urgency: int | None = None
+    #: Whether its caller comes back after a refusal.
+    is_retry: bool = False
+    #: Time left until its caller itself gives up, if its route does so earlier;
+    #: else 0.
+    caller_left: float = 0
 
 
 class Refusal(typing.NamedTuple):
@@ -73,24 +80,41 @@
     retry_seconds: float
     #: The owner of the request's key; empty if any target would have done.
     owner: str = ''
+    #: Why an admission policy refused; empty if the reason says it all.
+    cause: str = ''
+    #: Whether the time is drawn for this caller alone, so that it is told as is.
+    is_drawn: bool = False
 
 
-def choose(
+def cheapest(
     views: abc.Sequence[View],
     demand: Demand,
     now: float,
 ) -> View | Refusal:
-    """Returns the target with the lowest expected cost for the request."""
+    """Returns the usable target with the lowest expected cost.
+
+    How long the request waits there is not looked at.
+    """
     usable = [view for view in views if _is_usable(view, demand, now)]
     if not usable:
         return refuse(views, now)
     with_room = [view for view in usable if not view.is_full]
     if not with_room:
         return _refuse_full(usable, now)
-    usable = with_room
     if demand.has_large_answer:
-        usable = _nearby(usable, demand, now) or usable
-    best = min(usable, key=lambda view: _cost(view, demand, now))
+        with_room = _nearby(with_room, demand, now) or with_room
+    return min(with_room, key=lambda view: _cost(view, demand, now))
+
+
+def choose(
+    views: abc.Sequence[View],
+    demand: Demand,
+    now: float,
+) -> View | Refusal:
+    """Returns the cheapest target if the request can wait for it."""
+    best = cheapest(views, demand, now)
+    if isinstance(best, Refusal):
+        return best
     waiting = standing.waiting_seconds(best.standing, places_of(best), now)
     if waiting > patience(best.standing, demand, now):
         return Refusal(outcomes.Reason.queue_full, bounded_retry(waiting))
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -399,6 +399,9 @@
     excluded: NotRequired[list[str]]
     version: NotRequired[str]
     has_large_answer: NotRequired[bool]
+    urgency: NotRequired[Whole]
+    is_retry: NotRequired[bool]
+    caller_ms: NotRequired[Milliseconds]
 
 
 class PermitAnswer(TypedDict):
@@ -413,6 +416,8 @@
     born: NotRequired[Whole]
     reason: NotRequired[str]
     retry_ms: NotRequired[Milliseconds]
+    cause: NotRequired[str]
+    is_drawn: NotRequired[bool]
 
 
 class PermitEnd(TypedDict):
