Capacity: trials allow for a full queue to drain; less evidence is asked for

Cause: trials of a lower limit ended after 1.5 s, which a slow target's full queue takes to drain, so targets that slow down early kept all places.

Change: a trial lasts four times of work longer. A lower limit needs two standard errors, and no gain beyond equal requests a second. Views of targets with room skip the estimate.

--- a/src/bilberryglade/_capacity/learning.py
+++ b/src/bilberryglade/_capacity/learning.py
@@ -48,6 +48,8 @@
         self.reported_at: float = -math.inf
         #: Requests at the target when each permit was granted.
         self.found: dict[typing.Hashable, int] = {}
+        #: Requests that it may have whatever is known; less than any room.
+        self.reserve = limits.reserve(target.places)
         #: Monotonic seconds of the last place that a refused request was told.
         self.next_place: float = 0
         #: When the limit was looked at last.
@@ -60,6 +62,10 @@
         age = max(now - self.reported_at, 0)
         return self.others * math.exp(-age / OTHERS_SECONDS)
 
+    def is_unlimited(self) -> bool:
+        """Returns whether the target is used up to its configured places."""
+        return self.limit.level == len(self.curve.levels)
+
     def usable_places(self) -> int:
         """Returns the requests that the target should run at once."""
         places = self.target.places
@@ -73,7 +79,7 @@
         places = self.target.places
         most = limits.room(self.limit, self.usable_places(), places)
         if now - self.reported_at > UNSEEN_SECONDS:
-            return min(most, limits.reserve(places))
+            return min(most, self.reserve)
         return most
 
     def seconds(self, now: float) -> float | None:
@@ -103,6 +109,13 @@
         if now - life.stepped_at > STEP_SECONDS:
             self._step(life, now)
         count = len(life.occupancy) + life.others_now(now)
+        # Most targets of a large service are like this at any time.
+        if (
+            count < life.reserve
+            and life.limit.trial == 0
+            and life.is_unlimited()
+        ):
+            return view
         return view._replace(
             places=life.usable_places(), is_full=count >= life.room(now)
         )
--- a/src/bilberryglade/_capacity/limits.py
+++ b/src/bilberryglade/_capacity/limits.py
@@ -11,12 +11,11 @@
 from bilberryglade._capacity import curve
 
 #: Gain in requests a second from which a lower limit is worth having, as a
-#: logarithm. A limit costs callers a wait that is less even than the target's
-#: own queue.
-MIN_GAIN: typing.Final = 0.1
-#: Standard errors by which the gain must exceed `MIN_GAIN`. It is tested with
-#: each answer, so that two would be exceeded by chance every few seconds.
-SIGNIFICANT_ERRORS: typing.Final = 2.5
+#: logarithm. With as many requests a second each one's work is shorter.
+MIN_GAIN: typing.Final = 0
+#: Standard errors by which the gain must exceed `MIN_GAIN`. On the load model 2.5
+#: found slow-downs too late to help, and 1.5 helped no more than 2.
+SIGNIFICANT_ERRORS: typing.Final = 2.0
 #: Time for which a lowered limit stays before a higher one is tried, in seconds:
 #: at first, and at most after repeated trials have failed.
 FIRST_HOLD_SECONDS: typing.Final = 1.5
@@ -24,10 +23,13 @@
 #: Time between two trials of a lower limit at a busy target, in seconds: at
 #: first, and at most after repeated trials have failed. A trial of a target that
 #: doesn't slow down costs it about a place for half a second.
-FIRST_PAUSE_SECONDS: typing.Final = 1.0
+FIRST_PAUSE_SECONDS: typing.Final = 0.5
 MAX_PAUSE_SECONDS: typing.Final = 30.0
 #: Longest time of a trial, in seconds; twice that while it seems to gain.
 TRIAL_SECONDS: typing.Final = 1.5
+#: Times of work that a target's full queue takes until it runs fewer requests at
+#: once than before: four for two places and six waiting.
+DRAIN_WORKS: typing.Final = 4.0
 #: Part of the samples at the limit from which a target counts as busy.
 BUSY_PART: typing.Final = 0.6
 #: Weight of a lower level's samples from which they say whether a trial of it
@@ -170,8 +172,10 @@
     gain = _gain(known, limit.level, limit.level - 1, now, HINT_WEIGHT)
     if gain is not None and gain < HINT_GAIN:
         return limit
+    drain_seconds = 0 if own is None else math.exp(own.mean) * DRAIN_WORKS
     return limit._replace(
-        trial=limit.level - 1, trial_until=now + TRIAL_SECONDS
+        trial=limit.level - 1,
+        trial_until=now + drain_seconds + TRIAL_SECONDS,
     )
 
 
