Rollouts: a new coordinator continues whatever the store has lost

A coordinator that took over read only the record, which a store that came back older may have lost or hold in an earlier phase; and until it had read it, the usual plan could give a version on trial any number of keys. It now takes what it was told of before, phases without a way back stay, and tables of ordered services stay as they are until the rollouts are known.

--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -227,9 +227,7 @@
         )
         if ROLLOUT in self.place.contracts:
             own.start()
-            plans = key_plans.KeyPlans(
-                self.steward.candidates, self.rollouts.rollout_of
-            )
+            plans = key_plans.KeyPlans(self.steward.candidates, self.rollouts)
             self.steward.plan_move = plans.plan
 
     def _wire_requests(self) -> None:
--- a/src/bilberryglade/_knowledge/knowledge.py
+++ b/src/bilberryglade/_knowledge/knowledge.py
@@ -80,13 +80,15 @@
 
         Those in domains taken out, and of versions not allowed, may not.
         """
-        return [
+        found = [
             target
             for target in self.directory.targets.values()
             if target.service == service
             and not self.is_out(target.failure_domain)
-            and self.allows(target)
         ]
+        if not self.is_versioned:
+            return found
+        return [target for target in found if self.allows(target)]
 
 
 def learn(
--- a/src/bilberryglade/_rollouts/exposure.py
+++ b/src/bilberryglade/_rollouts/exposure.py
@@ -252,6 +252,8 @@
         service = rollout.service
         before = self.told.get(service)
         is_same = before is not None and before.rollout.order == rollout.order
+        if before is not None and is_same and _is_ended(before, told):
+            return False
         if not is_same:
             self.counters[service] = counting.Counter(rollout.order)
             self.credits.pop(service, None)
@@ -285,6 +287,17 @@
                 )
 
 
+def _is_ended(before: versions.Told, told: versions.Told) -> bool:
+    """Tells whether a phase without a way back was told before another one.
+
+    A coordinator may have read a store that has come back older.
+    """
+    earlier, later = before.rollout.phase, told.rollout.phase
+    if earlier in phases.FINAL:
+        return later is not earlier
+    return earlier in phases.SETTLED and later not in phases.SETTLED
+
+
 def _work_seconds(
     target: directory.Target, finished: send_results.FinishedSend
 ) -> float | None:
--- a/src/bilberryglade/_rollouts/key_plans.py
+++ b/src/bilberryglade/_rollouts/key_plans.py
@@ -1,6 +1,5 @@
 """Plans the owners of a service's keys while a rollout of it runs."""
 
-import typing
 from collections import abc
 
 from bilberryglade._ownership import (
@@ -10,21 +9,20 @@
     ranges,
     table_manager,
 )
-from bilberryglade._rollouts import key_moves, phases, stepper, versions
+from bilberryglade._rollouts import key_moves, manager, phases, versions
 from bilberryglade._targets import directory
 from bilberryglade._values import clock
 
-#: The rollout of a service as it is told now; None if there is none.
-Find: typing.TypeAlias = abc.Callable[[str], stepper.Rollout | None]
-
 
 class KeyPlans:
     """Takes the place of the usual plan for services that are moving."""
 
-    def __init__(self, chosen: candidates.Candidates, find: Find) -> None:
-        """`chosen` weighs the targets; `find` returns a service's rollout."""
+    def __init__(
+        self, chosen: candidates.Candidates, rollouts: manager.Manager
+    ) -> None:
+        """`chosen` weighs the targets for what `rollouts` tells."""
         self.candidates = chosen
-        self.find = find
+        self.rollouts = rollouts
 
     def plan(
         self,
@@ -34,11 +32,15 @@
         before: ranges.Table,
     ) -> planning.Plan | None:
         """Returns the plan of a service; None if the usual one holds."""
-        rollout = self.find(service)
-        if rollout is None or rollout.phase not in phases.REVOCABLE:
+        if not before or service not in self.rollouts.reader.known.orders:
             return None
-        if not before:
+        if not self.rollouts.is_ready():
+            # A new coordinator must not give a version on trial what it can.
+            return planning.Plan(before, is_changed=False)
+        told = self.rollouts.exposure.told.get(service)
+        if told is None or told.rollout.phase not in phases.REVOCABLE:
             return None
+        rollout = told.rollout
         now = clock.now()
         loads = self.candidates.load_sum.loads(service)
         old = [one for one in targets if one.version != rollout.version]
--- a/src/bilberryglade/_rollouts/manager.py
+++ b/src/bilberryglade/_rollouts/manager.py
@@ -134,11 +134,13 @@
         if self.lease.holds and self.progress.decided:
             self.members.send(name, self.stages(clock.now()))
 
-    def rollout_of(self, service: str) -> stepper.Rollout | None:
-        """Returns the rollout of a service as it is told, if there is one."""
-        if service not in self.progress.decided:
-            return None
-        return self.progress.told(service)
+    def rewrite(self) -> None:
+        """Has the records written again, to a store that has come back older."""
+        self.records.is_lost = True
+
+    def is_ready(self) -> bool:
+        """Tells whether the rollouts of this term are known."""
+        return self.term == self.lease.term
 
     def _step_down(self) -> None:
         if self.term >= 0:
@@ -154,8 +156,28 @@
         if isinstance(taken, result.Err) or term != self.lease.term:
             return
         now = clock.now()
+        if self.term == term:
+            # Nobody else has decided anything; the store may have gone back.
+            sent = {name: one.sent for name, one in self.gatherings.items()}
+            self.progress.rewrite(sent, now)
+            return
+        read = self._read_stages(taken.ok_value, now)
+        self.progress.restart(read)
+        for service, rollout in read.items():
+            self.progress.decided[service] = self._with_own_knowledge(rollout)
+        self._add_unwritten()
+        self.term = term
+        self.exposure.retell()
+        loguru.logger.info(
+            'rollouts taken over: term {}, {}', term, sorted(read)
+        )
+
+    def _read_stages(
+        self, stages: abc.Mapping[str, messages.RolloutStage], now: float
+    ) -> dict[str, stepper.Rollout]:
+        """Returns the rollouts that the store holds, and keeps their counts."""
         read: dict[str, stepper.Rollout] = {}
-        for service, stage in taken.ok_value.items():
+        for service, stage in stages.items():
             decoded = encoding.from_stage(stage, now)
             if isinstance(decoded, result.Err):
                 loguru.logger.error(
@@ -168,19 +190,13 @@
             self.gatherings[service] = gathering.Gathering(
                 decoded.ok_value.version, encoding.sent_in(stage)
             )
-        self.progress.restart(read)
-        for service, rollout in read.items():
-            self.progress.decided[service] = self._with_own_knowledge(rollout)
-        self.term = term
-        self.exposure.retell()
-        loguru.logger.info(
-            'rollouts taken over: term {}, {}', term, sorted(read)
-        )
+        return read
 
     def _with_own_knowledge(self, read: stepper.Rollout) -> stepper.Rollout:
         """Returns a stored rollout with what this instance knows of it.
 
-        The record does not tell its age. A rollback is told before it is stored.
+        The record does not tell its age. A rollback is told before it is stored,
+        and a store that has come back older has lost later steps.
         """
         told = self.exposure.told.get(read.service)
         order = self.reader.known.orders.get(read.service)
@@ -188,10 +204,22 @@
             read = read._replace(began_at=min(read.began_at, order.read_at))
         if told is None or told.rollout.order != read.order:
             return read
-        read = read._replace(began_at=min(read.began_at, told.rollout.began_at))
-        if told.rollout.phase is phases.Phase.rolled_back:
-            return read._replace(phase=phases.Phase.rolled_back, share=0)
-        return read
+        began_at = min(read.began_at, told.rollout.began_at)
+        if phases.is_beyond(told.rollout.phase, read.phase):
+            return told.rollout._replace(began_at=began_at)
+        return read._replace(began_at=began_at)
+
+    def _add_unwritten(self) -> None:
+        """Adds rollouts that were told of here and that the store has lost."""
+        for service, order in self.reader.known.orders.items():
+            told = self.exposure.told.get(service)
+            if told is None or service in self.progress.decided:
+                continue
+            if _is_followed(order, told.rollout):
+                self.progress.decided[service] = told.rollout
+                self.gatherings[service] = gathering.Gathering(
+                    order.version, {}
+                )
 
     def _take_orders(self, now: float) -> None:
         """Begins the rollouts of new orders, and forgets withdrawn ones."""
--- a/src/bilberryglade/_rollouts/phases.py
+++ b/src/bilberryglade/_rollouts/phases.py
@@ -69,6 +69,12 @@
 )
 
 
+def is_beyond(phase: Phase, other: Phase) -> bool:
+    """Tells whether `phase` comes after `other`; a rollback after all others."""
+    order = list(Phase)
+    return order.index(phase) > order.index(other)
+
+
 def after(
     phase: Phase, trigger: Trigger
 ) -> result.Result[Phase, RefusedTrigger]:
--- a/src/bilberryglade/_rollouts/progress.py
+++ b/src/bilberryglade/_rollouts/progress.py
@@ -30,6 +30,22 @@
         self.stored = dict(read)
         self.pending.clear()
 
+    def rewrite(
+        self,
+        sent: abc.Mapping[str, abc.Mapping[str, gathering.Sent]],
+        now: float,
+    ) -> None:
+        """Has all records written again, to a store that has lost them.
+
+        `sent` is what each process has sent, by service.
+        """
+        for service, rollout in self.decided.items():
+            payload = encoding.to_record(rollout, sent.get(service, {}), now)
+            self.pending[service] = (rollout, payload)
+            self.records.put(
+                records.Write(records.STATE_TOPIC, service, payload)
+            )
+
     def put(
         self,
         rollout: stepper.Rollout,
