--- a/src/bilberryglade/platform/exchange.py
+++ b/src/bilberryglade/platform/exchange.py
@@ -1,6 +1,7 @@
 """One request to a target as the platform's protocol has it."""
 
 import enum
+import functools
 import re
 import typing
 from collections import abc
@@ -28,6 +29,9 @@
 #: Statuses by which callers are told that a request has not run.
 PROMISING_STATUSES: typing.Final = frozenset((408, 421, 429, 503))
 PERCENT: typing.Final = 100
+#: Texts on a target's load whose meaning is kept; they have few small numbers,
+#: and checking one took longer than all else that is done with it.
+KEPT_REPORTS: typing.Final = 2048
 #: The one text that says that a target leaves.
 LEAVING_TEXT: typing.Final = '1'
 #: Seconds as a target may write them; dates and signs are none.
@@ -196,6 +200,7 @@
     )
 
 
+@functools.lru_cache(maxsize=KEPT_REPORTS)
 def report_of(text: str) -> standing.Report | None:
     """Returns a target's word on its load, or None if it gave none."""
     figures = codec.convert_texts(
--- a/src/bilberryglade/platform/front.py
+++ b/src/bilberryglade/platform/front.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import traceback
 import typing
 from collections import abc
@@ -51,6 +52,8 @@
         headers.ROUTING_KEY,
     ),
 )
+#: Texts of deadlines whose meaning is kept; most callers send the same few.
+KEPT_PATIENCE: typing.Final = 1024
 TOO_LARGE_STATUS: typing.Final = 413
 MALFORMED_STATUS: typing.Final = 400
 #: Statuses of refusals; every other reason is 503, which promises that the
@@ -340,6 +343,7 @@
     return key
 
 
+@functools.lru_cache(maxsize=KEPT_PATIENCE)
 def _patience(text: str) -> float | None:
     if not text:
         return None
