--- a/src/bilberryglade/_admission/by_worth.py
+++ b/src/bilberryglade/_admission/by_worth.py
@@ -151,12 +151,7 @@
     demand_rate: float,
     now: float,
 ) -> Place:
-    capacity = sum(
-        view.target.places / _usual_seconds(view.standing)
-        for view in views
-        if not view.target.is_draining and not choosing.is_cold(view, now)
-    )
-    capacity = max(capacity, LEAST_CAPACITY)
+    capacity = max(_capacity(views, now), LEAST_CAPACITY)
     places = best.target.places
     return Place(
         view=best,
@@ -168,10 +163,23 @@
     )
 
 
-def _usual_seconds(known: standing.Standing) -> float:
-    """Returns how long work takes, slow spells included in the mean."""
-    seconds = known.seconds or standing.UNKNOWN_SECONDS
-    return seconds * max(known.usual_slowness, standing.LEAST_SLOWNESS)
+def _capacity(views: abc.Sequence[choosing.View], now: float) -> float:
+    """Returns the requests a second that warm targets serve.
+
+    Slow spells count by their mean. There is a turn for each target of a pool
+    at each decision, so that nothing is called in it.
+    """
+    capacity: float = 0
+    for view in views:
+        target, known = view.target, view.standing
+        if target.is_draining or target.cold_until > now:
+            continue
+        pace = known.usual_slowness
+        if pace < standing.LEAST_SLOWNESS:
+            pace = standing.LEAST_SLOWNESS
+        seconds = known.seconds or standing.UNKNOWN_SECONDS
+        capacity += target.places / (seconds * pace)
+    return capacity
 
 
 def _cause(
--- a/src/bilberryglade/_delivery/tests/test_router.py
+++ b/src/bilberryglade/_delivery/tests/test_router.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from bilberryglade._admission import jobs
+from bilberryglade._admission import jobs, policies
 from bilberryglade._delivery import retry_budget, router
 from bilberryglade._knowledge import knowledge
 from bilberryglade._ownership import owners, ranges
@@ -188,6 +188,17 @@
         request = samples.incoming(arrived_at=clock.now())
         return await request_router.serve(request), fake_targets.sent
 
+    def test_silent_dispatcher_leads_to_another_policy(self) -> None:
+        """An instance decides alone as the deployment's dispatchers do."""
+        for contracts, name in (({'pressure'}, 'by_worth'), ({}, 'first_come')):
+            with self.subTest(name=name):
+                place = mock.Mock(bounds=BOUNDS, contracts=contracts)
+                parts = [mock.Mock() for _ in range(6)]
+                alone = router.Router(place, *parts)
+                self.assertIs(
+                    alone.gate.policy, policies.policies.entries[name]
+                )
+
     async def test_refusal_after_a_lost_send_promises_nothing(self) -> None:
         """The caller was told 503 though the first send may have run."""
         lost = outcomes.Unknown(REASON.answer_lost)
