--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -218,6 +218,7 @@
         listed = self.reader.known.directory
         self.dispatching.ledger.expire(clock.now(), directory.Lives(listed))
         self.load_sum.forget_unlisted(listed.targets)
+        self.router.gate.forget_past(clock.now())
 
     def _wire_rollouts(self, client: store.StoreClient) -> None:
         own = exposure.Exposure(
