--- a/src/bilberryglade/_capacity/tests/test_failures.py
+++ b/src/bilberryglade/_capacity/tests/test_failures.py
@@ -13,6 +13,7 @@
 from bilberryglade._delivery import permits, send_results
 from bilberryglade._targets import choosing, directory, standing
 from bilberryglade._targets.tests import samples
+from bilberryglade._values import outcomes
 
 SLOWED: typing.Final = (1.0, 1.0, 1.2, 4.0)
 WIDE: typing.Final = (1.0, 1.0, 1.0, 1.0)
@@ -134,6 +135,31 @@
                     self.assertEqual(model.targets['t0'].hung, 0)
 
 
+class SilenceTests(unittest.TestCase):
+    """An instance without a dispatcher's answer sends on its own view."""
+
+    def test_own_view_of_a_busy_target(self) -> None:
+        """It sends nothing that others may have filled the queue for."""
+        policy = learning.LearntPolicy()
+        target = samples.target(places=2)
+        for outstanding, is_full in ((0, False), (1, False), (2, True)):
+            with self.subTest(outstanding=outstanding):
+                known = standing.Standing(outstanding=outstanding)
+                view = choosing.View(target, known, may_warm=True)
+                self.assertEqual(policy.view(view, 0).is_full, is_full)
+
+    def test_refusal_of_a_full_target(self) -> None:
+        """The caller learns when to come back, and nothing was sent."""
+        view = choosing.View(
+            samples.target(), standing.Standing(), may_warm=True, is_full=True
+        )
+        demand = choosing.Demand('a', 0.5, 2, frozenset())
+        refused = choosing.choose([view], demand, 0)
+        assert isinstance(refused, choosing.Refusal)
+        self.assertIs(refused.reason, outcomes.Reason.queue_full)
+        self.assertGreater(refused.retry_seconds, 0)
+
+
 class ReportTests(unittest.TestCase):
     """Reports that are missing, odd or late."""
 
