--- a/src/bilberryglade/_admission/by_worth.py
+++ b/src/bilberryglade/_admission/by_worth.py
@@ -178,7 +178,7 @@
         if pace < standing.LEAST_SLOWNESS:
             pace = standing.LEAST_SLOWNESS
         seconds = known.seconds or standing.UNKNOWN_SECONDS
-        capacity += target.places / (seconds * pace)
+        capacity += choosing.places_of(view) / (seconds * pace)
     return capacity
 
 
--- a/src/bilberryglade/_admission/tests/test_by_worth.py
+++ b/src/bilberryglade/_admission/tests/test_by_worth.py
@@ -139,7 +139,7 @@
         ledger.expire(NOW + 9, set())
         self.assertFalse(ledger.permits)
         ledger.expire(NOW + 99, set())
-        self.assertFalse(self.gate.memories)
+        self.assertFalse(self.admission_gate=gate.memories)
 
     def test_successor_without_memory_refuses_or_floods(self) -> None:
         """It begins as `first_come` does and has learnt within 2 s."""
