--- a/src/bilberryglade/_delivery/crash_records.py
+++ b/src/bilberryglade/_delivery/crash_records.py
@@ -54,6 +54,8 @@
         self.compare_seconds = COMPARE_SECONDS
         #: Called with each crashed life of a target, by its name in messages.
         self.on_crash: abc.Callable[[str], None] = lambda _: None
+        storage.client.eras.on_rise.append(self.restore)
+        lease.on_start.append(self.restore)
         storage.on_read = self.merge
         storage.to_store = self.evidence.to_store
         self.merge(known)
@@ -169,6 +171,17 @@
         self.is_stored.update(known)
         self.evidence.learn(known, clock.now())
 
+    def restore(self) -> None:
+        """Writes again what a store that came back older may have lost.
+
+        Only the coordinator does: all know the same, and what another instance
+        alone knows is written with its next change.
+        """
+        if not self.lease.holds or not self.storage.client.eras.era:
+            return
+        for digest in sorted({*self.is_stored, *self.evidence.blamed}):
+            self.storage.write(digest)
+
     def mark(self) -> int:
         """Returns what differs between instances that refuse other requests."""
         return self.evidence.mark()
--- /dev/null
+++ b/src/bilberryglade/_era/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions on the store's era."""
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -97,7 +97,9 @@
         )
         self.fleet = fleet.Fleet(own, self.peers, known.members)
         self.candidacy = candidacy.Candidacy(self.fleet, client)
-        self.enrolment = enrolment.Enrolment(self.fleet, client, self.candidacy)
+        self.enrolment = enrolment.Enrolment(
+            self.fleet, client, self.candidacy, known.keys
+        )
         self.reader = reading.Reader(
             self.fleet, client, self.candidacy, place.bounds.drain
         )
@@ -140,6 +142,7 @@
             self.crashes,
         )
         self._wire_requests()
+        self.exchanges.watch_store(client.eras)
 
     def instances(self) -> int:
         """Returns how many instances share limits."""
@@ -187,6 +190,7 @@
             not self.stopping.is_set()
             and known.catalogue is not None
             and topics.TARGETS in known.read_at
+            and self.operators.is_settled()
         )
 
     def forget_gone(self) -> None:
--- a/src/bilberryglade/_knowledge/knowledge.py
+++ b/src/bilberryglade/_knowledge/knowledge.py
@@ -36,7 +36,11 @@
 
     #: None until a configuration was read.
     catalogue: catalogues.Catalogue | None = None
+    #: Offset of the newest configuration that was read, also if nothing can be
+    #: made of it, or if the one in force has a higher version.
     catalogue_offset: int = -1
+    #: Offset of the record of the configuration in force.
+    in_force_offset: int = -1
     directory: directories.Directory = directories.Directory()
     domains: immutables.Map[str, Domain] = immutables.Map()
     #: Offset up to which each topic was read.
@@ -51,6 +55,18 @@
         """Returns for how many seconds nothing was heard of a topic."""
         return now - self.read_at.get(topic, float('-inf'))
 
+    def standing(self, topic: str) -> int:
+        """Returns the offset of a record that stands though the store lost it.
+
+        It is that of the configuration in force, if that is of an earlier era
+        than what was read last; otherwise -1.
+        """
+        if topic != topics.OPERATOR:
+            return stored.NOWHERE
+        read_era = stored.era_of(self.ends.get(topic, stored.NOWHERE))
+        is_lost = stored.era_of(self.in_force_offset) < read_era
+        return self.in_force_offset if is_lost else stored.NOWHERE
+
     def is_out(self, failure_domain: str) -> bool:
         """Tells whether operators have taken a failure domain out."""
         domain = self.domains.get(failure_domain)
@@ -91,7 +107,10 @@
     if origin.is_after_silence and topic in known.read_at:
         gap = known.age(topic, read_at)
     fold = topics.folds.entries[topic]
-    after = fold(known, topics.Reading(batch, read_at, gap))
+    is_new_era = topic in known.ends and (
+        stored.era_of(batch.end) > stored.era_of(end)
+    )
+    after = fold(known, topics.Reading(batch, read_at, gap, is_new_era))
     after = after._replace(ends=known.ends.set(topic, max(batch.end, end)))
     if read_at < known.read_at.get(topic, read_at):
         return after
--- a/src/bilberryglade/_knowledge/news.py
+++ b/src/bilberryglade/_knowledge/news.py
@@ -20,6 +20,20 @@
     return stored.Batch((*fresh, *dropped), whole.end, is_whole=False)
 
 
+def believable(
+    records: abc.Iterable[stored.Record], *, is_new_era: bool
+) -> tuple[stored.Record, ...]:
+    """Returns the records of a relay that hold for its hearer.
+
+    What is dropped in an era new to it may be about to be written again.
+    """
+    return tuple(
+        record
+        for record in records
+        if record.payload is not None or not is_new_era
+    )
+
+
 def changing(
     news: stored.Batch,
     before: directories.Directory,
@@ -34,6 +48,8 @@
                 before.targets.get(record.key), after.targets.get(record.key)
             )
             or record.payload is None
+            # Others have lost it too, and do not see that it is back.
+            or record.key in before.lapsed
         )
     )
 
@@ -41,9 +57,29 @@
 def forget_dropped(
     kept: dict[str, stored.Record],
     batch: stored.Batch,
+    standing: int = stored.NOWHERE,
 ) -> None:
-    """Removes the keys that a whole reading does not name any more."""
+    """Removes the keys that a whole reading does not name any more.
+
+    The record at the offset `standing` stays.
+    """
     named = {record.key for record in batch.records}
     for key, record in list(kept.items()):
+        if record.offset == standing:
+            continue
         if key not in named and record.offset < batch.end:
             kept.pop(key)
+
+
+def replaces(
+    record: stored.Record,
+    known: stored.Record | None,
+    standing: int = stored.NOWHERE,
+) -> bool:
+    """Tells whether a record replaces the one known of its key.
+
+    The later one does, but for the one at the offset `standing`.
+    """
+    if known is None or record.offset == standing:
+        return True
+    return known.offset != standing and record.offset > known.offset
--- a/src/bilberryglade/_knowledge/operators.py
+++ b/src/bilberryglade/_knowledge/operators.py
@@ -30,6 +30,10 @@
 #: Age of the last confirmation from which everything is read anew: the wait of
 #: the coordinator's read, the time between two signs of life, and a margin.
 CONFIRMED_SECONDS: typing.Final = 1.2
+#: Seconds after its start for which an instance asks others whether the store
+#: holds the newest configuration: three signs of life of the coordinator, and
+#: the time to ask for what is lacking.
+SETTLE_SECONDS: typing.Final = 3.0
 LOOK_SECONDS: typing.Final = 0.1
 RETRY_SECONDS: typing.Final = 0.4
 #: Stands for an age that is not known, in messages.
@@ -46,6 +50,9 @@
         self.reader = reader
         #: Seconds at which what is known was the newest for certain.
         self.confirmed_at = -math.inf
+        self.started_at = clock.now()
+        #: Whether another instance has known the same records as this one.
+        self.has_agreed = False
         self.catching_up = catching_up.CatchingUp()
 
     async def follow(self) -> None:
@@ -84,6 +91,7 @@
         own = self.mark()
         told = _told(message)
         if own == told:
+            self.has_agreed = True
             age = message['operator_age_ms'] / 1000
             self.confirmed_at = max(self.confirmed_at, clock.now() - age)
         elif own.newest <= told.newest:
@@ -118,11 +126,24 @@
         after = -1 if own.newest == asked.newest else asked.newest
         self.reader.tell_newer(TOPIC, ask['sender'], after)
 
+    def is_settled(self) -> bool:
+        """Tells whether what is known can be relied on after a start.
+
+        A store that came back older may hold an older configuration, so that an
+        instance which has started since asks the others first.
+        """
+        end = self.reader.known.ends.get(TOPIC, stored.NOWHERE)
+        if not stored.era_of(end) or self.has_agreed:
+            return True
+        return clock.now() - self.started_at > SETTLE_SECONDS
+
     def mark(self) -> catching_up.Mark:
         """Returns what tells of a difference to another instance."""
         records = self.reader.newest.get(TOPIC, {}).values()
+        # Who has an older configuration in force has it from the same store.
+        newest = self.reader.known.catalogue_offset
         return catching_up.Mark(
-            max((record.offset for record in records), default=-1),
+            max((newest, *(record.offset for record in records))),
             sum(
                 record.offset
                 for record in records
--- a/src/bilberryglade/_knowledge/peer_handlers.py
+++ b/src/bilberryglade/_knowledge/peer_handlers.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from bilberryglade._era import recall
 from bilberryglade._membership import fleet as members
 from bilberryglade._ownership import owners
 from bilberryglade._peers import handlers
@@ -130,3 +131,18 @@
     """Sends the tables to an instance that has missed them."""
     if parts.candidacy.holds:
         parts.fleet.send(message['sender'], parts.steward.assignment_message())
+
+
+@handlers.handler_for('holdings_ask', fleet.HoldingsAsk)
+def handle_holdings_ask(
+    parts: 'entry.Parts', message: fleet.HoldingsAsk
+) -> None:
+    """Tells a coordinator what the store may have lost of the keys' owners."""
+    answer = parts.steward.recall.answer(message, parts.steward.tables)
+    parts.fleet.send(message['sender'], answer)
+
+
+@handlers.handler_for('holdings', fleet.Holdings, recall.validate)
+def handle_holdings(parts: 'entry.Parts', message: fleet.Holdings) -> None:
+    """Takes in what another instance remembers of the keys' owners."""
+    parts.steward.recall.take(message)
--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -105,6 +105,9 @@
             fresh = news.since(read, end, self.newest[topic])
         self.learn(topic, read, self._own_origin(began))
         fresh = news.changing(fresh, before, self.known.directory)
+        if end is not None and stored.era_of(read.end) > stored.era_of(end):
+            # Each instance reads all of it anew for itself.
+            end = None
         self._relay_targets(fresh, end, began)
         return True
 
@@ -119,12 +122,21 @@
         )
         known_end = self.known.ends.get(topic, -1)
         end = relay['end']
+        gained = stored.era_of(end) - stored.era_of(known_end)
+        if topic == topics.TARGETS:
+            if gained < 0:
+                # It tells nothing of the store since that came back older.
+                return
+            records = news.believable(records, is_new_era=gained > 0)
         read_at = clock.now() - relay['age_ms'] / 1000
         if topic == topics.OPERATOR and not relay['is_whole']:
             # Each record stands for itself; the own long poll sets the end.
             end = known_end
-        elif not relay['is_whole'] and relay['start'] > known_end:
-            # Something in between was missed: only a whole reading heals it.
+        elif not relay['is_whole'] and (
+            relay['start'] > known_end or gained > 0
+        ):
+            # Something in between was missed, or the store has lost something:
+            # only a whole reading heals it.
             self.missed.add(topic)
             if topic not in self.known.read_at:
                 return
@@ -192,13 +204,12 @@
         self.silent.discard(topic)
         _note_targets(before, self.known.directory)
         kept = self.newest.setdefault(topic, {})
+        standing = self.known.standing(topic)
         if batch.is_whole:
-            news.forget_dropped(kept, batch)
+            news.forget_dropped(kept, batch, standing)
         for record in batch.records:
-            known = kept.get(record.key)
-            if known is not None and known.offset >= record.offset:
-                continue
-            kept[record.key] = record
+            if news.replaces(record, kept.get(record.key), standing):
+                kept[record.key] = record
         if batch.records or batch.is_whole:
             self._tell()
 
--- a/src/bilberryglade/_knowledge/topics.py
+++ b/src/bilberryglade/_knowledge/topics.py
@@ -23,6 +23,9 @@
     #: Seconds for which the store had given this instance no word of the topic,
     #: though it was asked; 0 if it was not asked in vain.
     gap: float
+    #: Whether the store has come back older since the topic was read before, so
+    #: that records may be missing which are about to be written again.
+    is_new_era: bool = False
 
 
 Fold: typing.TypeAlias = abc.Callable[
--- a/src/bilberryglade/_membership/candidacy.py
+++ b/src/bilberryglade/_membership/candidacy.py
@@ -9,6 +9,7 @@
 import result
 
 from bilberryglade._codec import codec
+from bilberryglade._era import eras
 from bilberryglade._membership import fleet, leadership
 from bilberryglade._values import clock, stored
 from bilberryglade.platform import store
@@ -86,6 +87,7 @@
 
     def hear(self, lead: messages.Lead) -> None:
         """Takes in the coordinator's sign of life, or that it was the last."""
+        self.client.eras.hear_told(lead['claim'])
         if lead['term'] < self.term:
             return
         if lead.get('is_over'):
@@ -135,7 +137,8 @@
             self._lose('lease ended')
             return
         sent_at = clock.now()
-        appended = await self._append(self.state.newest + 1, is_resigned=False)
+        end = leadership.next_end(self.state, self.client.eras.era)
+        appended = await self._append(end, is_resigned=False)
         if isinstance(appended, result.Ok):
             self._hold(appended.ok_value, sent_at)
         elif appended.err_value is not stored.Failure.refused:
@@ -149,14 +152,20 @@
     async def _look(self) -> None:
         is_read = await self._read()
         may_claim = is_read and leadership.may_claim(
-            self.state, self.members.own.address, clock.now()
+            self.state,
+            self.members.own.address,
+            clock.now(),
+            eras.may_claim_at(
+                self.client.eras.risen_at, leadership.WAITED_SECONDS
+            ),
         )
         if not may_claim:
             self.free_since = None
         elif not self._yields(clock.now()):
             seen = self.state.seen
             sent_at = clock.now()
-            end = 0 if seen is None else seen.offset + 1
+            start = stored.Position(self.client.eras.era, 0).packed
+            end = start if seen is None else seen.offset + 1
             appended = await self._append(end, is_resigned=False)
             if isinstance(appended, result.Ok):
                 self._hold(appended.ok_value, sent_at)
@@ -199,12 +208,18 @@
         seen = self.state.seen
         if seen is None:
             return True
+        is_coordinator = self.state.role is leadership.Role.coordinator
+        if is_coordinator and leadership.is_restored(
+            self.state, seen, clock.now()
+        ):
+            # The next renewal writes the own claim again behind it.
+            return True
         own = self.members.own
         is_own = (seen.holder, seen.boot) == (own.name, own.boot)
         if is_own and seen.sequence in self.sent and not seen.is_resigned:
-            if self.state.role is leadership.Role.coordinator:
+            if is_coordinator:
                 self._hold(seen.offset, self.sent[seen.sequence])
-        elif self.state.role is leadership.Role.coordinator:
+        elif is_coordinator:
             self._lose(f'claim of {seen.holder}')
         return True
 
@@ -243,6 +258,12 @@
         self.confirmed_at = sent_at
         if not was_coordinator:
             self._begin()
+        elif self.state.term != self.term:
+            self.term = self.state.term
+            loguru.logger.info(
+                'coordinator here: term {}, after the store came back older',
+                self.term,
+            )
         for listener in self.on_claim:
             listener()
 
--- a/src/bilberryglade/_membership/enrolment.py
+++ b/src/bilberryglade/_membership/enrolment.py
@@ -7,6 +7,10 @@
 What is divided among the instances follows from who they are. So each entry also
 stands beside the key pair, which a process reads before anything of it runs: it
 never takes itself for the only instance because the list could not be read.
+
+A store that comes back older may have lost entries and even the key pair. Each
+instance writes its own entry and copy again, and whoever finds no pair writes the
+one that the fleet uses.
 """
 
 import asyncio
@@ -33,6 +37,10 @@
 #: Seconds of silence after which the coordinator takes a member off the list.
 SILENT_SECONDS: typing.Final = 15.0
 SWEEP_SECONDS: typing.Final = 5.0
+#: Seconds since a message of a member within which it is not taken for gone
+#: because a store that came back older has lost its entry: two of the reports
+#: that each instance sends, and the time to write the entry again.
+HEARD_SECONDS: typing.Final = 3.0
 
 
 class Known(typing.NamedTuple):
@@ -72,8 +80,10 @@
         members: fleet.Fleet,
         client: store.StoreClient,
         lease: candidacy.Candidacy,
+        keys: messages.PeerKeys | None = None,
     ) -> None:
-        """Has not joined yet."""
+        """Has not joined yet; `keys` is the pair in use, None if there is none."""
+        self.keys = keys
         self.members = members
         self.client = client
         self.lease = lease
@@ -81,19 +91,31 @@
         self.is_read = False
         #: Names whose entries could not be read, which were told once.
         self.unreadable: set[str] = set()
+        #: Position up to which the others' entries were read.
+        self.end = stored.NOWHERE
         #: Set while this instance's copy is to be written.
         self.is_copy_due = asyncio.Event()
+        client.eras.on_rise.append(self.restore)
 
     async def join(self) -> None:
         """Writes this instance's entry; asks until the store took it."""
         self.is_copy_due.set()
         await self._write(MEMBERS_TOPIC, self.members.own.name)
 
+    def restore(self) -> None:
+        """Writes again soon what a store that came back older may have lost."""
+        self.is_copy_due.set()
+
     async def keep_copy(self) -> None:
-        """Writes the copy of this instance's entry each time that it joins."""
+        """Writes the copy of this instance's entry each time that it joins.
+
+        It stands beside the key pair, which is there before it.
+        """
         while True:
             await self.is_copy_due.wait()
             self.is_copy_due.clear()
+            if self.keys is not None and self.client.eras.era:
+                await self._restore_keys(self.keys)
             await self._write(KEYS_TOPIC, COPY_PREFIX + self.members.own.name)
 
     async def follow(self) -> None:
@@ -142,6 +164,29 @@
                     await self.client.append(KEYS_TOPIC, copy, b'')
                     await self.client.append(MEMBERS_TOPIC, member.name, b'')
 
+    async def _restore_keys(self, keys: messages.PeerKeys) -> None:
+        """Writes the key pair again if the store holds none."""
+        while True:
+            newest = await self.client.newest(KEYS_TOPIC)
+            if isinstance(newest, result.Ok):
+                found = _keys_in(newest.ok_value)
+                if found is not None:
+                    break
+                loguru.logger.warning('key pair of the fleet written again')
+                await self.client.append(
+                    KEYS_TOPIC,
+                    KEYS_KEY,
+                    codec.encode_packed(keys),
+                    stored.Condition(end=newest.ok_value.end),
+                )
+                continue
+            await asyncio.sleep(RETRY_SECONDS)
+        if found != keys:
+            loguru.logger.error(
+                'key pair in the store is not that of this instance: instances '
+                'started since the store came back older cannot be reached'
+            )
+
     def _greet(self, names: set[str]) -> None:
         hello = self.members.hello(is_leaving=False)
         for name in sorted(names):
@@ -170,12 +215,22 @@
         for record in batch.records:
             if record.key != own:
                 self._take_record(record)
+        is_new_era = stored.era_of(batch.end) > stored.era_of(self.end)
         if batch.is_whole:
-            self._drop_unnamed({record.key for record in batch.records})
+            self._drop_unnamed(
+                {record.key for record in batch.records},
+                HEARD_SECONDS if is_new_era else 0,
+            )
+        self.end = batch.end
         own_records = [record for record in batch.records if record.key == own]
         if not own_records:
             return not batch.is_whole
-        return own_records[-1].payload is not None
+        payload = own_records[-1].payload
+        if payload is None or not is_new_era:
+            return payload is not None
+        # The entry of the process before this one may have been restored.
+        member = _member(own, payload)
+        return member is not None and member.boot == self.members.own.boot
 
     def _take_record(self, record: stored.Record) -> None:
         if record.payload is None:
@@ -189,10 +244,18 @@
             return
         self.members.take(member._replace(offset=record.offset))
 
-    def _drop_unnamed(self, named: set[str]) -> None:
+    def _drop_unnamed(self, named: set[str], heard_seconds: float) -> None:
+        """Drops who is not listed and was not heard for `heard_seconds`.
+
+        One that was heard stays as if only its message were known.
+        """
         for member in self.members.others():
             is_listed = member.offset >= 0 or member.is_copied
-            if member.name not in named and is_listed:
+            if member.name in named or not is_listed:
+                continue
+            if self.members.silence_of(member.name) < heard_seconds:
+                self.members.unlist(member.name)
+            else:
                 self.members.drop(member.name)
 
 
--- a/src/bilberryglade/_membership/fleet.py
+++ b/src/bilberryglade/_membership/fleet.py
@@ -116,6 +116,12 @@
             self.version += 1
             self._forget_sockets()
 
+    def unlist(self, name: str) -> None:
+        """Takes in that the store has lost the entry of an instance that lives."""
+        member = self.members.get(name)
+        if member is not None and name != self.own.name:
+            self.members[name] = member._replace(offset=-1, is_copied=False)
+
     def leave(self, name: str) -> None:
         """Takes in that a member is about to stop."""
         if name in self.members and name not in self.leaving:
--- a/src/bilberryglade/_observability/exchange_counts.py
+++ b/src/bilberryglade/_observability/exchange_counts.py
@@ -8,6 +8,7 @@
 from prometheus_client import metrics_core, registry
 
 from bilberryglade._delivery import router
+from bilberryglade._era import keeper
 from bilberryglade._knowledge import reading, topics
 from bilberryglade._observability import pace
 from bilberryglade._ownership import order_log, table_manager
@@ -94,6 +95,37 @@
         return iter((counted,))
 
 
+class EraCounts(registry.Collector):
+    """The store's era, its rises, and what was wrong with it in answers."""
+
+    def __init__(self, eras: keeper.EraKeeper) -> None:
+        """Reads the counts of `eras`."""
+        self.eras = eras
+
+    def collect(self) -> abc.Iterator[metrics_core.Metric]:
+        """Returns the counts now."""
+        era = metrics_core.GaugeMetricFamily(
+            'bilberryglade_store_era',
+            'How often the store has come back from an older copy.',
+            value=self.eras.era,
+        )
+        rises = metrics_core.CounterMetricFamily(
+            'bilberryglade_store_era_rises',
+            'Rises of the era, by what told of them.',
+            labels=('reason',),
+        )
+        for reason, count in self.eras.rises.items():
+            rises.add_metric((reason,), count)
+        faults = metrics_core.CounterMetricFamily(
+            'bilberryglade_store_era_faults',
+            'Answers of the store with an era that cannot be.',
+            labels=('fault',),
+        )
+        for fault, count in self.eras.faults.items():
+            faults.add_metric((fault,), count)
+        return iter((era, rises, faults))
+
+
 class LeftOutCounts(registry.Collector):
     """Records of others that were left out."""
 
@@ -206,6 +238,10 @@
         """Counts headers of targets that are left out from now on."""
         self.registry.register(OddHeaderCounts(counts))
 
+    def watch_store(self, eras: keeper.EraKeeper) -> None:
+        """Tells of the store's era from now on."""
+        self.registry.register(EraCounts(eras))
+
     def scrape(self) -> bytes:
         """Returns all counters as text."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/bilberryglade/_ownership/lease_manager.py
+++ b/src/bilberryglade/_ownership/lease_manager.py
@@ -14,6 +14,7 @@
 from bilberryglade._knowledge import reading
 from bilberryglade._membership import candidacy
 from bilberryglade._ownership import (
+    former_leases,
     lease_times,
     order_addresses,
     order_log,
@@ -69,6 +70,8 @@
         self.outstanding: dict[
             str, tuple[outstanding_leases.OutstandingLease, ...]
         ] = {}
+        #: Leases that may be held of any service's keys, by unknown targets.
+        self.unlisted: tuple[outstanding_leases.OutstandingLease, ...] = ()
         self.grants: dict[ServiceRange, GrantState] = {}
         self.order_tasks: dict[ServiceRange, asyncio.Task[None]] = {}
         self.log = order_log.OrderLog()
@@ -101,11 +104,12 @@
         self.addresses.add(addresses)
         self.outstanding = {
             service: tuple(
-                _outstanding_lease(former, now) for former in former_owners
+                former_leases.to_lease(former, now) for former in former_owners
             )
             for service, former_owners in earlier_leases.items()
         }
         self.stale_fences.clear()
+        self.unlisted = ()
 
     def stop(self) -> None:
         """Cancels all orders in flight and forgets their progress."""
@@ -175,7 +179,9 @@
     ) -> tuple[outstanding_leases.OutstandingLease, ...]:
         """Returns the leases of other targets that prevent a grant of the range."""
         return outstanding_leases.find_conflicting(
-            self.outstanding.get(service, ()), entry, clock.now()
+            (*self.outstanding.get(service, ()), *self.unlisted),
+            entry,
+            clock.now(),
         )
 
     def former_owners(
@@ -191,10 +197,7 @@
             for lease in self.blocking_leases(service, entry)
         }
         return [
-            owners.FormerOwner(
-                ranges.Range(lease.first, lease.last, lease.owner, lease.fence),
-                outstanding_leases.end_of(lease) - now,
-            )
+            former_leases.to_former_owner(lease, now)
             for lease in sorted(blocking)
         ]
 
@@ -382,17 +385,3 @@
 
 def _do_nothing() -> None:
     """Default for `on_first_grant`."""
-
-
-def _outstanding_lease(
-    former: owners.FormerOwner, now: float
-) -> outstanding_leases.OutstandingLease:
-    entry = former.entry
-    until = outstanding_leases.lease_end(now, former.seconds)
-    return outstanding_leases.OutstandingLease(
-        entry.first,
-        entry.last,
-        entry.owner,
-        entry.fence,
-        until,
-    )
--- a/src/bilberryglade/_ownership/table_manager.py
+++ b/src/bilberryglade/_ownership/table_manager.py
@@ -12,6 +12,7 @@
 import result
 
 from bilberryglade._codec import codec
+from bilberryglade._era import recall
 from bilberryglade._knowledge import reading
 from bilberryglade._membership import candidacy, fleet
 from bilberryglade._ownership import (
@@ -26,7 +27,7 @@
 )
 from bilberryglade._targets import directory
 from bilberryglade._values import clock, stored
-from bilberryglade.platform import orders, store
+from bilberryglade.platform import store
 from bilberryglade_schema import fleet as messages
 
 TOPIC: typing.Final = 'assignment'
@@ -71,12 +72,15 @@
         self.lease_manager = leasing
         self.load_sum = load_sum
         self.candidates = candidates.Candidates(reader, leasing, load_sum)
+        self.recall = recall.Recall(members, leasing)
         #: Set when a range is granted to its owner for the first time.
         self.granted = asyncio.Event()
         leasing.on_first_grant = self.granted.set
         #: Candidates for which each service's table was planned last.
         self.planned_candidates: dict[str, frozenset[ranges.Owner]] = {}
         self.tables = owners.Tables()
+        #: The tables in the record read last, which may be older.
+        self.stored_tables = owners.Tables()
         #: Earlier owners by service, as listed in the record read last.
         self.former_tables: dict[str, messages.FormerTable] = {}
         #: Addresses of the owners in the record read last.
@@ -88,6 +92,8 @@
         self.epoch = -1
         #: Sequence number of the last write since the takeover.
         self.sequence = 0
+        #: Tenure of the coordinator's lease in which the tables were taken over.
+        self.tenure = -1
         self.started_at: float = 0
         self.balanced_at: float = 0
         self.checked_at: float = 0
@@ -140,8 +146,9 @@
                 'tables at offset {} are invalid; record ignored', offset
             )
             return
-        read_tables = owners.from_message(decoded.ok_value, offset)
-        self.tables = owners.newer(self.tables, read_tables)
+        version = recall.version_of(decoded.ok_value, offset)
+        self.stored_tables = owners.from_message(decoded.ok_value, version)
+        self.tables = owners.newer(self.tables, self.stored_tables)
         self.former_tables = decoded.ok_value.get('former', {})
         self.addresses = owners.addresses_of(decoded.ok_value)
 
@@ -185,35 +192,59 @@
         if isinstance(end, result.Err) or end.ok_value < fenced.ok_value:
             await asyncio.sleep(RETRY_SECONDS)
             return
-        if term != self.lease.term:
+        remembered = await self.recall.remember(
+            stored.era_of(epoch),
+            (self.tables, self.stored_tables),
+            # Nobody else has coordinated since this tenure began.
+            is_own=self.tenure == self.lease.state.tenure,
+        )
+        if term != self.lease.term or not self.lease.holds:
             # Another coordinator may have written in between.
             return
-        longest_seconds = (
-            self.lease_manager.max_lease_seconds + orders.GRANT_SECONDS
-        )
-        self.lease_manager.start_term(
-            {
-                service: (
-                    *(
-                        _as_former_owner(owned, longest_seconds)
-                        for owned in entries
-                    ),
-                    *owners.from_former_table(self.former_tables.get(service)),
-                )
-                for service, entries in self.tables.services.items()
-            },
-            self.addresses,
-        )
+        self._start_term(remembered)
         self.sequence = 0
         self.updates.begin_term()
         self.planned_candidates.clear()
         self.started_at = clock.now()
         self.term = term
-        self._increment_change()
+        self.tenure = self.lease.state.tenure
+        self.tables = table_updates.next_change(self.tables)
         loguru.logger.info(
             'tables taken over: term {} version {}', term, self.tables.version
         )
 
+    def _start_term(self, remembered: recall.Recalled | None) -> None:
+        """Starts a term with all leases that targets may hold.
+
+        Where tables were lost, all ranges get new fences: those of this era are
+        above all that were given in the one before.
+        """
+        seconds = recall.longest_seconds(self.lease_manager)
+        earlier = [
+            {
+                service: [_as_former_owner(owned, seconds) for owned in entries]
+                for service, entries in self.tables.services.items()
+            },
+            recall.former_in(self.former_tables),
+        ]
+        if remembered is None:
+            self.lease_manager.start_term(
+                recall.merged(earlier), self.addresses
+            )
+            return
+        self.lease_manager.start_term(
+            recall.merged((*earlier, remembered.former)),
+            {**remembered.addresses, **self.addresses},
+        )
+        if not remembered.is_complete:
+            self.lease_manager.unlisted = (
+                recall.anybody(seconds, clock.now()),
+            )
+        self.tables = remembered.tables
+        self.lease_manager.stale_fences = set(
+            owners.service_ranges(self.tables)
+        )
+
     async def _round(self) -> None:
         """Plans and publishes tables, orders leases and announces changes."""
         self.lease_manager.drop_ended_leases()
@@ -322,6 +353,9 @@
             )
         )
         message = self._build_record(new_tables)
+        era = stored.era_of(self.epoch)
+        if era:
+            message['era'] = era
         payload = codec.encode_packed(message)
         self.sequence += 1
         condition = stored.Condition(
@@ -368,7 +402,7 @@
                 entry.owner.target,
                 entry.fence,
             )
-        self._increment_change()
+        self.tables = table_updates.next_change(self.tables)
 
     def _mark_granted(self, now: float) -> None:
         """Clears `is_moving` of the ranges that their owners were granted.
@@ -389,11 +423,7 @@
         }
         if services != self.tables.services:
             self.tables = self.tables._replace(services=services)
-            self._increment_change()
-
-    def _increment_change(self) -> None:
-        """Marks the tables as changed since the last announcement."""
-        self.tables = self.tables._replace(change=self.tables.change + 1)
+            self.tables = table_updates.next_change(self.tables)
 
 
 def _as_former_owner(
--- a/src/bilberryglade/_ownership/table_updates.py
+++ b/src/bilberryglade/_ownership/table_updates.py
@@ -81,3 +81,8 @@
         message['base_version'] = announced.version
         message['base_change'] = announced.change
         return message
+
+
+def next_change(tables: owners.Tables) -> owners.Tables:
+    """Returns tables marked as changed since the last announcement."""
+    return tables._replace(change=tables.change + 1)
--- a/src/bilberryglade/_ownership/tests/lease_links.py
+++ b/src/bilberryglade/_ownership/tests/lease_links.py
@@ -158,20 +158,27 @@
         if 'from' not in query:
             return False
         partition = self.simulation.model.partition(query)
-        return bool(partition.end <= int(query['from']))
+        return bool(partition.end == int(query['from']))
 
     def _answer(self, call: sender.Call) -> outcomes.Outcome:
         path = call.path.partition('?')[0]
         query = _query_of(call)
-        partition = self.simulation.model.partition(query)
+        model = self.simulation.model
+        partition = model.partition(query)
+        headers = tuple(
+            outcomes.Header(name, text)
+            for name, text in model.headers().items()
+        )
         operation = path.rpartition('/')[2]
         if operation == 'log-append':
             status, response = partition.append(query, call.body)
-            return _json_answer(status, response)
+            return _json_answer(status, response, headers)
         if operation == 'log-newest':
-            return _json_answer(store_model.OK, partition.newest(''))
+            newest = partition.newest('')
+            return _json_answer(store_model.OK, newest, headers)
         raw = partition.read(int(query['from']))
-        return outcomes.Answered(store_model.OK, (), raw or b'')
+        status = store_model.GONE if raw is None else store_model.OK
+        return outcomes.Answered(status, headers, raw or b'')
 
 
 class TargetLink:
@@ -411,6 +418,8 @@
 
 
 def _json_answer(
-    status: int, response: dict[str, typing.Any]
+    status: int,
+    response: dict[str, typing.Any],
+    headers: tuple[outcomes.Header, ...],
 ) -> outcomes.Answered:
-    return outcomes.Answered(status, (), json.dumps(response).encode())
+    return outcomes.Answered(status, headers, json.dumps(response).encode())
--- a/src/bilberryglade/_ownership/tests/lease_simulation.py
+++ b/src/bilberryglade/_ownership/tests/lease_simulation.py
@@ -54,6 +54,8 @@
 class Simulation:
     """The simulated fleet: instances, network, store and targets."""
 
+    instance_type = lease_instance.Instance
+
     def __init__(self, seed: int, loop: virtual_time.VirtualLoop) -> None:
         """Draws the properties of the fleet from `seed`; starts nothing."""
         self.rng = random.Random(seed)
@@ -63,7 +65,7 @@
         self.network = modelled_network.Network(self.rng, loop)
         self.store_faults = modelled_network.StoreFaults()
         self.order_faults = modelled_network.OrderFaults()
-        self.model = store_model.StoreModel()
+        self.model = store_model.StoreModel(self.now)
         self.loads = Loads()
         #: Name of the instance whose order a target executed last.
         self.last_order_sender = ''
@@ -127,9 +129,7 @@
         if name in self.instances:
             return
         self.boot_count += 1
-        instance = lease_instance.Instance(
-            self, name, f'boot-{self.boot_count}'
-        )
+        instance = self.instance_type(self, name, f'boot-{self.boot_count}')
         self.instances[name] = instance
         for receiver in self.instances.values():
             for member in self.instances.values():
@@ -184,7 +184,7 @@
 
     async def _refresh_entry(self, target: modelled_targets.Target) -> None:
         """Keeps a target's entry in the store; drops it when it has expired."""
-        stored_entry = b''
+        stored_entry: tuple[int, bytes] = (0, b'')
         silent_seconds: float = 0
         while True:
             reaches_store = not self.network.is_cut(target.name, 'store')
@@ -194,15 +194,16 @@
                 and not self.store_faults.is_unavailable
             ):
                 silent_seconds = 0
-                entry = self._entry(target)
+                # What the store has lost is written again.
+                entry = (self.model.era, self._entry(target))
                 if entry != stored_entry:
-                    self.model.write(TARGETS_TOPIC, target.name, entry)
+                    self.model.write(TARGETS_TOPIC, target.name, entry[1])
                     stored_entry = entry
             else:
                 silent_seconds += ENTRY_REFRESH_SECONDS
-                if silent_seconds > ENTRY_EXPIRY_SECONDS and stored_entry:
+                if silent_seconds > ENTRY_EXPIRY_SECONDS and stored_entry[1]:
                     self.model.write(TARGETS_TOPIC, target.name, b'')
-                    stored_entry = b''
+                    stored_entry = (self.model.era, b'')
             await asyncio.sleep(
                 ENTRY_REFRESH_SECONDS * self.rng.uniform(0.9, 1.1)
             )
--- a/src/bilberryglade/_ownership/tests/lease_store_faults.py
+++ b/src/bilberryglade/_ownership/tests/lease_store_faults.py
@@ -13,6 +13,15 @@
     simulation.store_faults.is_unavailable = False
 
 
+@lease_faults.faults.register('store back older')
+async def go_back(simulation: lease_simulation.Simulation) -> None:
+    """The store is away for a while, and comes back some seconds older."""
+    simulation.store_faults.is_unavailable = True
+    await asyncio.sleep(simulation.rng.choice((0.05, 0.5, 1.5, 3)))
+    simulation.model.go_back(simulation.rng.uniform(0.2, 6))
+    simulation.store_faults.is_unavailable = False
+
+
 @lease_faults.faults.register('store slow')
 async def slow_store(simulation: lease_simulation.Simulation) -> None:
     """Calls to the store take up to seconds."""
--- a/src/bilberryglade/platform/folds.py
+++ b/src/bilberryglade/platform/folds.py
@@ -1,5 +1,6 @@
 """Folds of the store's topics: operators' records and targets' entries."""
 
+import functools
 import operator
 import typing
 
@@ -29,7 +30,7 @@
         elif record.key.startswith(TAKEN_OUT_PREFIX):
             known = _with_domain(known, record, reading.read_at)
     known = _with_newest(known, configurations)
-    if reading.batch.is_whole:
+    if reading.batch.is_whole and not reading.is_new_era:
         known = _without_unnamed(known, reading)
     return known
 
@@ -43,7 +44,7 @@
     listed = known.directory
     omitted = known.omitted
     keep_until: float = 0
-    if reading.gap > directory.GAP_SECONDS:
+    if reading.gap > directory.GAP_SECONDS or reading.is_new_era:
         keep_until = reading.read_at + directory.RETURN_SECONDS
     for record in reading.batch.records:
         if record.payload is None:
@@ -77,10 +78,12 @@
     for record in sorted(
         configurations, key=operator.attrgetter('offset'), reverse=True
     ):
-        if record.payload is None or record.offset <= known.catalogue_offset:
+        if record.payload is None or _is_decided(known, record.offset):
             continue
         newest = max(newest, record.offset)
-        decoded = catalogues.decode(record.payload)
+        decoded = catalogues.decode(record.payload).and_then(
+            functools.partial(_rank, known, record.offset)
+        )
         if isinstance(decoded, result.Ok):
             known = _in_force(known, record, decoded.ok_value)
             break
@@ -91,6 +94,39 @@
     return known._replace(catalogue_offset=newest)
 
 
+def _is_decided(known: knowledge.Knowledge, offset: int) -> bool:
+    """Tells whether a configuration needs no decoding: it is known, or earlier.
+
+    One of an earlier era may have been lost by the store, and be the newest.
+    """
+    newest = known.catalogue_offset
+    is_earlier = offset <= newest and (
+        stored.era_of(offset) == stored.era_of(newest)
+    )
+    return is_earlier or offset == known.in_force_offset
+
+
+def _rank(
+    known: knowledge.Knowledge, offset: int, decoded: catalogues.Decoded
+) -> result.Result[catalogues.Decoded, str]:
+    """Returns a configuration unless it is older than the one in force.
+
+    While the store has not come back older, offsets tell which is newer; since
+    then, versions do.
+    """
+    if known.catalogue is None or not stored.era_of(
+        max(offset, known.in_force_offset)
+    ):
+        return result.Ok(decoded)
+    rank = (decoded.catalogue.version, offset)
+    if rank > (known.catalogue.version, known.in_force_offset):
+        return result.Ok(decoded)
+    return result.Err(
+        f'version {rank[0]} is not above {known.catalogue.version}, '
+        'which stays in force'
+    )
+
+
 def _in_force(
     known: knowledge.Knowledge,
     record: stored.Record,
@@ -108,7 +144,11 @@
         len(decoded.issues),
     )
     _tell_quotas(known.catalogue, decoded.catalogue)
-    return known._replace(catalogue=decoded.catalogue, omitted=omitted)
+    return known._replace(
+        catalogue=decoded.catalogue,
+        in_force_offset=record.offset,
+        omitted=omitted,
+    )
 
 
 def _tell_quotas(
--- a/src/bilberryglade/platform/headers.py
+++ b/src/bilberryglade/platform/headers.py
@@ -26,6 +26,8 @@
 #: Running, waiting, places, and the relative time that work takes.
 LOAD: typing.Final = 'x-server-load'
 HANDOVER: typing.Final = 'x-handover'
+#: On all answers of the store: how often it has come back from an older copy.
+STORE_ERA: typing.Final = 'store-era'
 RETRY_AFTER: typing.Final = 'retry-after'
 #: A target that leaves says so in all its answers.
 LEAVING: typing.Final = 'server-leaving'
--- a/src/bilberryglade/platform/store.py
+++ b/src/bilberryglade/platform/store.py
@@ -1,4 +1,8 @@
-"""The one client of the platform's store."""
+"""The one client of the platform's store.
+
+Offsets are those of an era (`_era`): calls are taken apart into what the store
+counts by here, and answers are put together into packed positions.
+"""
 
 import base64
 import typing
@@ -8,10 +12,11 @@
 import result
 
 from bilberryglade._codec import codec
+from bilberryglade._era import keeper
 from bilberryglade._knowledge import topics
 from bilberryglade._targets import sender
 from bilberryglade._values import outcomes, stored
-from bilberryglade.platform import records
+from bilberryglade.platform import headers, records
 from bilberryglade_schema import provider
 
 #: Seconds for a call; some 200 times the usual answer of the store.
@@ -34,6 +39,7 @@
     topics.TARGETS: 'keyed.servers',
 }
 
+Query: typing.TypeAlias = dict[str, str | int]
 Answer: typing.TypeAlias = result.Result[bytes, stored.Failure]
 Batch: typing.TypeAlias = result.Result[stored.Batch, stored.Failure]
 
@@ -41,10 +47,19 @@
 class StoreClient:
     """Appends to and reads from keyed topics of one partition."""
 
-    def __init__(self, address: str, http: sender.Sender) -> None:
-        """Talks to the store at `address` through `http`."""
+    def __init__(
+        self,
+        address: str,
+        http: sender.Sender,
+        eras: keeper.EraKeeper | None = None,
+    ) -> None:
+        """Talks to the store at `address` through `http`.
+
+        `eras` learns of the era from each answer; a new one by default.
+        """
         self.address = address
         self.http = http
+        self.eras = keeper.EraKeeper() if eras is None else eras
         self.calls = 0
         #: Whether the last call had no answer of its own: connections that are
         #: kept may have fallen silent, or out of step, with its own.
@@ -59,13 +74,16 @@
         payload: bytes,
         condition: stored.Condition = stored.ALWAYS,
     ) -> result.Result[int, stored.Failure]:
-        """Appends one record and returns its offset.
+        """Appends one record and returns its packed position.
 
-        `unclear` leaves open whether it was, or will be, carried out.
+        `unclear` leaves open whether it was, or will be, carried out. A condition
+        of an earlier era never holds: offsets have been given out again since.
         """
-        query: dict[str, str | int] = {'topic': _wire_topic(topic), 'part': 0}
+        if self._is_past(condition):
+            return result.Err(stored.Failure.conflict)
+        query: Query = {'topic': _wire_topic(topic), 'part': 0}
         if condition.end is not None:
-            query['at'] = condition.end
+            query['at'] = stored.position_of(condition.end).offset
         if condition.writer:
             query['producer'] = condition.writer
             query['epoch'] = condition.epoch
@@ -84,7 +102,7 @@
         decoded = codec.decode_json(answer.ok_value, provider.AppendAnswer)
         if isinstance(decoded, result.Err):
             return result.Err(stored.Failure.unclear)
-        offset = decoded.ok_value['offset']
+        offset = self._packed(decoded.ok_value['offset'])
         if condition.end not in {None, offset}:
             self.is_doubted = True
             loguru.logger.warning(
@@ -93,6 +111,9 @@
                 condition.end,
             )
             return result.Err(stored.Failure.unclear)
+        if self._is_past(condition):
+            # The era rose meanwhile; the record may be of either.
+            return result.Err(stored.Failure.unclear)
         return result.Ok(offset)
 
     async def fence(
@@ -102,7 +123,9 @@
         epoch: int,
     ) -> result.Result[int, stored.Failure]:
         """Fences off lower epochs of a writer; returns the topic's end."""
-        query: dict[str, str | int] = {
+        if self._is_past(stored.Condition(writer=writer, epoch=epoch)):
+            return result.Err(stored.Failure.conflict)
+        query: Query = {
             'topic': _wire_topic(topic),
             'part': 0,
             'producer': writer,
@@ -117,14 +140,22 @@
         decoded = codec.decode_json(answer.ok_value, provider.AppendAnswer)
         if isinstance(decoded, result.Err):
             return result.Err(stored.Failure.unclear)
-        return result.Ok(decoded.ok_value['end'])
+        return result.Ok(self._packed(decoded.ok_value['end']))
 
     async def read(self, topic: str, start: int, wait_ms: int) -> Batch:
-        """Returns the records from `start`, as soon as there is one."""
-        query: dict[str, str | int] = {
+        """Returns the records from `start`, as soon as there is one.
+
+        `start` is a packed position; if its era has ended, the topic is to be
+        read anew as a whole, as if the records were not kept any more.
+        """
+        place = stored.position_of(start)
+        if place.era < self.eras.era:
+            return result.Err(stored.Failure.expired)
+        earlier_end = self.eras.end_of(topic)
+        query: Query = {
             'topic': _wire_topic(topic),
             'part': 0,
-            'from': start,
+            'from': place.offset,
             'wait_ms': wait_ms,
         }
         seconds = CALL_SECONDS
@@ -137,6 +168,9 @@
             found = records.parse_read(answer.ok_value)
         except ValueError:
             return result.Err(stored.Failure.unreadable)
+        self.eras.hear_end(topic, found.end, earlier_end)
+        if place.era < self.eras.era:
+            return result.Err(stored.Failure.expired)
         parsed = (
             records.parse_keyed(raw, start + place)
             for place, raw in enumerate(found.records)
@@ -147,19 +181,31 @@
         )
 
     async def newest(self, topic: str) -> Batch:
-        """Returns the newest record of every key of a topic."""
+        """Returns the newest record of every key of a topic.
+
+        A reading in which the era rises is given up: its pages are of two eras.
+        """
         found: list[stored.Record] = []
         after = ''
         end: int | None = None
+        era = self.eras.era
+        earlier_end = self.eras.end_of(topic)
         while True:
             page = await self._page(topic, after)
             if isinstance(page, result.Err):
                 return page
-            # Pages are no snapshot: what came after the first is read again.
-            end = page.ok_value['end'] if end is None else end
+            if end is None:
+                self.eras.hear_end(topic, page.ok_value['end'], earlier_end)
+                era = self.eras.era
+                # Pages are no snapshot: what came after the first is read again.
+                end = self._packed(page.ok_value['end'])
+            if self.eras.era != era:
+                return result.Err(stored.Failure.expired)
             told = page.ok_value['items']
             readable = [
-                record for record in map(_record_of, told) if record is not None
+                record._replace(offset=self._packed(record.offset))
+                for record in map(_record_of, told)
+                if record is not None
             ]
             self._note_left_out(topic, len(told) - len(readable))
             found.extend(readable)
@@ -176,7 +222,7 @@
         topic: str,
         after: str,
     ) -> result.Result[provider.NewestAnswer, stored.Failure]:
-        query: dict[str, str | int] = {'topic': _wire_topic(topic), 'part': 0}
+        query: Query = {'topic': _wire_topic(topic), 'part': 0}
         if after:
             query['after'] = after
         answer = await self._call('GET', 'log-newest', query, b'')
@@ -195,17 +241,28 @@
         if count:
             self.left_out[topic] = self.left_out.get(topic, 0) + count
 
+    def _packed(self, offset: int) -> int:
+        return stored.Position(self.eras.era, offset).packed
+
+    def _is_past(self, condition: stored.Condition) -> bool:
+        """Tells whether a condition names an offset or epoch of an earlier era."""
+        named = [condition.epoch] if condition.writer else []
+        if condition.end is not None:
+            named.append(condition.end)
+        return any(stored.era_of(place) < self.eras.era for place in named)
+
     async def _call(
         self,
         method: str,
         name: str,
-        query: dict[str, str | int],
+        query: Query,
         body: bytes,
         seconds: float = CALL_SECONDS,
         *,
         on_fresh: bool = False,
     ) -> Answer:
         self.calls += 1
+        era = self.eras.era
         call = sender.Call(
             address=self.address,
             method=method,
@@ -225,6 +282,11 @@
             return result.Err(stored.Failure.refused)
         if isinstance(outcome, outcomes.Unknown):
             return result.Err(stored.Failure.unclear)
+        named = headers.all_of(outcome.headers, headers.STORE_ERA)
+        is_current = self.eras.hear(', '.join(named) if named else None, era)
+        if not is_current:
+            # What was done in an era that has ended may be undone.
+            return result.Err(stored.Failure.unclear)
         if outcome.status == OK_STATUS:
             return result.Ok(outcome.body)
         return result.Err(
--- a/src/bilberryglade_schema/fleet.py
+++ b/src/bilberryglade_schema/fleet.py
@@ -15,6 +15,9 @@
 Offset: TypeAlias = Annotated[int, Meta(ge=-1, le=9007199254740991)]
 
 
+Era: TypeAlias = Annotated[int, Meta(ge=0, le=4095)]
+
+
 Milliseconds: TypeAlias = Annotated[int, Meta(ge=-1000000000, le=1000000000)]
 
 
@@ -227,6 +230,29 @@
     base_change: NotRequired[Whole]
     services: dict[str, OwnedTable]
     former: NotRequired[dict[str, FormerTable]]
+    era: NotRequired[Era]
+
+
+class HoldingsAsk(TypedDict):
+    """
+    A coordinator whose store has come back older asks what others know of keys' owners.
+    """
+
+    kind: Literal['holdings_ask']
+    sender: str
+    era: Era
+
+
+class Holdings(TypedDict):
+    """
+    The answer to it.
+    """
+
+    kind: Literal['holdings']
+    sender: str
+    era: Era
+    age_ms: Whole
+    tables: Assignment
 
 
 class AssignmentAsk(TypedDict):
--- a/src/bilberryglade_stand_ins/store_model.py
+++ b/src/bilberryglade_stand_ins/store_model.py
@@ -1,8 +1,13 @@
-"""A store in memory that keeps the rules of the platform's published log."""
+"""A store in memory that keeps the rules of the platform's published log.
+
+It can come back from an older copy of itself, as in a drill: its era rises then.
+"""
 
 import base64
 import struct
+import time
 import typing
+from collections import abc
 
 LENGTH: typing.Final = struct.Struct('>I')
 HEAD: typing.Final = struct.Struct('>QQ')
@@ -14,6 +19,8 @@
 CONFLICT: typing.Final = 409
 GONE: typing.Final = 410
 UNMET: typing.Final = 412
+#: Header of all answers; it names how often the store has come back older.
+ERA_HEADER: typing.Final = 'store-era'
 RESERVED: typing.Final = frozenset(('keyed.op', 'keyed.servers'))
 
 Answer: typing.TypeAlias = tuple[int, dict[str, typing.Any]]
@@ -32,12 +39,17 @@
 class Partition:
     """One partition of a topic."""
 
-    def __init__(self) -> None:
-        """Starts empty."""
+    def __init__(self, now: abc.Callable[[], float] = time.monotonic) -> None:
+        """Starts empty; `now` returns seconds."""
+        self.now = now
         self.records: list[bytes] = []
+        #: Seconds at which each record was appended.
+        self.times: list[float] = []
         #: Offset of the oldest record that is kept.
         self.first = 0
         self.writers: dict[str, Writer] = {}
+        #: What was remembered of writers, and since when, oldest first.
+        self.earlier_writers: list[tuple[float, str, Writer]] = []
 
     @property
     def end(self) -> int:
@@ -56,7 +68,7 @@
 
     def read(self, start: int) -> bytes | None:
         """Returns the records from `start`, or None if they have expired."""
-        if start < self.first:
+        if not self.first <= start <= self.end:
             return None
         kept = self.records[start - self.first :]
         return HEAD.pack(self.end, self.first) + b''.join(
@@ -89,8 +101,19 @@
         kept = {entry['offset'] for entry in page['items']}
         first = min(kept, default=self.end)
         self.records = self.records[first - self.first :]
+        self.times = self.times[first - self.first :]
         self.first = first
 
+    def go_back(self, to: float) -> None:
+        """Loses what was appended, and learnt of writers, after `to` seconds."""
+        kept = sum(appended_at <= to for appended_at in self.times)
+        del self.records[kept:]  # noqa: WPS420
+        del self.times[kept:]  # noqa: WPS420
+        self.earlier_writers = [
+            known for known in self.earlier_writers if known[0] <= to
+        ]
+        self.writers = {name: known for _, name, known in self.earlier_writers}
+
     def _append_as(
         self,
         name: str,
@@ -104,7 +127,7 @@
         if epoch > known.epoch:
             known = Writer(epoch, None, {})
         if not body:
-            self.writers[name] = known
+            self._remember(name, known)
             return OK, {'offset': self.end, 'end': self.end}
         repeated = known.answers.get(sequence)
         if repeated is not None:
@@ -118,9 +141,13 @@
             if number > sequence - REMEMBERED
         }
         answers[sequence] = answer
-        self.writers[name] = Writer(epoch, sequence, answers)
+        self._remember(name, Writer(epoch, sequence, answers))
         return answer
 
+    def _remember(self, name: str, writer: Writer) -> None:
+        self.writers[name] = writer
+        self.earlier_writers.append((self.now(), name, writer))
+
     def _put(self, body: bytes) -> Answer:
         offset = self.end
         place = 0
@@ -128,6 +155,7 @@
             size = LENGTH.unpack_from(body, place)[0]
             place += LENGTH.size
             self.records.append(body[place : place + size])
+            self.times.append(self.now())
             place += size
         return OK, {'offset': offset, 'end': self.end}
 
@@ -135,14 +163,30 @@
 class StoreModel:
     """All partitions."""
 
-    def __init__(self) -> None:
-        """Starts without a topic."""
+    def __init__(self, now: abc.Callable[[], float] = time.monotonic) -> None:
+        """Starts without a topic; `now` returns seconds."""
         self.partitions: dict[tuple[str, int], Partition] = {}
+        self.now = now
+        #: How often the store has come back from an older copy.
+        self.era = 0
+        #: Whether answers name the era.
+        self.names_era = False
 
     def partition(self, query: dict[str, str]) -> Partition:
         """Returns the partition that a query names; it exists on first use."""
         name = (query['topic'], int(query.get('part', '0')))
-        return self.partitions.setdefault(name, Partition())
+        return self.partitions.setdefault(name, Partition(self.now))
+
+    def go_back(self, seconds: float) -> None:
+        """Comes back from a copy that is `seconds` old, in the next era."""
+        for partition in self.partitions.values():
+            partition.go_back(self.now() - seconds)
+        self.era += 1
+        self.names_era = True
+
+    def headers(self) -> dict[str, str]:
+        """Returns the headers of every answer."""
+        return {ERA_HEADER: str(self.era)} if self.names_era else {}
 
     def write(self, topic: str, key: str, payload: bytes) -> int:
         """Writes a keyed record as operators and targets do."""
--- a/src/bilberryglade_stand_ins/store_service.py
+++ b/src/bilberryglade_stand_ins/store_service.py
@@ -25,6 +25,8 @@
         self.unanswered_appends = 0
         #: Seconds by which every answer is late.
         self.delay: float = 0
+        #: What answers name as the era, if it is not the store's; '' for no header.
+        self.era: str | None = None
 
 
 class StoreService:
@@ -41,6 +43,29 @@
 
     async def append(self, request: requests.Request) -> responses.Response:
         """Appends records."""
+        return self._with_era(await self._append(request))
+
+    async def read(self, request: requests.Request) -> responses.Response:
+        """Reads records, waiting for the first one."""
+        return self._with_era(await self._read(request))
+
+    async def newest(self, request: requests.Request) -> responses.Response:
+        """Returns the newest record of each key."""
+        return self._with_era(await self._newest(request))
+
+    def application(self) -> applications.Starlette:
+        """Returns the HTTP application."""
+        return applications.Starlette(
+            routes=[
+                routing.Route(
+                    f'{PREFIX}/log-append', self.append, methods=['POST']
+                ),
+                routing.Route(f'{PREFIX}/log-read', self.read),
+                routing.Route(f'{PREFIX}/log-newest', self.newest),
+            ],
+        )
+
+    async def _append(self, request: requests.Request) -> responses.Response:
         refusal = await self._refusal('append', request)
         if refusal is not None:
             return refusal
@@ -54,8 +79,7 @@
             await _left(request)
         return responses.JSONResponse(answer, status)
 
-    async def read(self, request: requests.Request) -> responses.Response:
-        """Reads records, waiting for the first one."""
+    async def _read(self, request: requests.Request) -> responses.Response:
         refusal = await self._refusal('read', request)
         if refusal is not None:
             return refusal
@@ -73,8 +97,7 @@
             )
         return responses.Response(raw)
 
-    async def newest(self, request: requests.Request) -> responses.Response:
-        """Returns the newest record of each key."""
+    async def _newest(self, request: requests.Request) -> responses.Response:
         refusal = await self._refusal('newest', request)
         if refusal is not None:
             return refusal
@@ -82,24 +105,22 @@
         partition = self.model.partition(query)
         return responses.JSONResponse(partition.newest(query.get('after', '')))
 
-    def application(self) -> applications.Starlette:
-        """Returns the HTTP application."""
-        return applications.Starlette(
-            routes=[
-                routing.Route(
-                    f'{PREFIX}/log-append', self.append, methods=['POST']
-                ),
-                routing.Route(f'{PREFIX}/log-read', self.read),
-                routing.Route(f'{PREFIX}/log-newest', self.newest),
-            ],
-        )
+    def _with_era(self, answer: responses.Response) -> responses.Response:
+        """Returns an answer with the header that names the era, if any does."""
+        named = self.model.headers()
+        if self.faults.era is not None:
+            named = {store_model.ERA_HEADER: self.faults.era}
+        for name, text in named.items():
+            if text:
+                answer.headers[name] = text
+        return answer
 
     def _is_waiting(
         self,
         partition: store_model.Partition,
         start: int,
     ) -> bool:
-        return partition.end <= start and not self.is_ending
+        return partition.end == start and not self.is_ending
 
     async def _refusal(
         self, name: str, request: requests.Request
