--- a/src/bilberryglade/_delivery/crash_records.py
+++ b/src/bilberryglade/_delivery/crash_records.py
@@ -54,8 +54,6 @@
         self.compare_seconds = COMPARE_SECONDS
         #: Called with each crashed life of a target, by its name in messages.
         self.on_crash: abc.Callable[[str], None] = lambda _: None
-        storage.client.eras.on_rise.append(self.restore)
-        lease.on_start.append(self.restore)
         storage.on_read = self.merge
         storage.to_store = self.evidence.to_store
         self.merge(known)
--- a/src/bilberryglade/_delivery/tests/test_crash_records.py
+++ b/src/bilberryglade/_delivery/tests/test_crash_records.py
@@ -297,3 +297,31 @@
         self.assertTrue(
             await crash_probe.refuses_connections(f'127.0.0.1:{port}')
         )
+
+
+class OlderStoreTests(RecordsCase):
+    """The store has come back older, and may have lost the evidence."""
+
+    def setUp(self) -> None:
+        """One request is refused, another was served again."""
+        super().setUp()
+        self.report('t/1', 't/2', 't/3')
+        self.storage.client.eras.era = 1
+
+    def test_coordinator_writes_it_again(self) -> None:
+        """Guards against processes that start and know of nothing."""
+        self.lease.holds = True
+        self.records.restore()
+        self.storage.write.assert_called_once_with(POISON)
+
+    def test_others_leave_it_to_the_coordinator(self) -> None:
+        """All know the same, and would write it all at once."""
+        self.records.restore()
+        self.storage.write.assert_not_called()
+
+    def test_store_that_has_not_come_back_older(self) -> None:
+        """A new coordinator writes nothing that the store has."""
+        self.lease.holds = True
+        self.storage.client.eras.era = 0
+        self.records.restore()
+        self.storage.write.assert_not_called()
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -142,6 +142,7 @@
             self.crashes,
         )
         self._wire_requests()
+        client.eras.on_rise.append(self.crashes.restore)
         self.exchanges.watch_store(client.eras)
 
     def instances(self) -> int:
@@ -203,7 +204,7 @@
     def _wire_requests(self) -> None:
         self.pools = pools.Pools(self.fleet, self.candidacy, self.organisations)
         self.desks = desks.Desks(self.fleet, self.candidacy, self.pools)
-        self.candidacy.on_start.append(self.pools.begin)
+        self.candidacy.on_start.extend((self.pools.begin, self.crashes.restore))
         self.ledger = permits.PermitLedger(self.targets_of, self.cold_spacing)
         self.dispatching = permit_broker.PermitBroker(self.fleet, self.ledger)
         self.exchange = exchange.TargetExchange(self.targets)
