--- a/src/bilberryglade/_knowledge/tests/test_older_store.py
+++ b/src/bilberryglade/_knowledge/tests/test_older_store.py
@@ -4,7 +4,13 @@
 import unittest
 from unittest import mock
 
-from bilberryglade._knowledge import knowledge, operators, reading, topics
+from bilberryglade._knowledge import (
+    knowledge,
+    news,
+    operators,
+    reading,
+    topics,
+)
 from bilberryglade._membership import candidacy, fleet
 from bilberryglade._targets import directory
 from bilberryglade._values import clock, stored
@@ -167,6 +173,17 @@
             self.reader.expire()
         self.assertEqual(self.names(), {'t'})
 
+    def test_entry_that_is_back(self) -> None:
+        """Others have lost it as well, so it is told though it is known here."""
+        self.instance.learn(topics.TARGETS, at(1, 0))
+        before = self.reader.known.directory
+        back = self.listed[1]._replace(offset=at(1, 0))
+        self.instance.learn(topics.TARGETS, at(1, 1), back, whole=False)
+        after = self.reader.known.directory
+        read = stored.Batch((back,), at(1, 1), is_whole=False)
+        self.assertEqual(news.changing(read, before, after).records, (back,))
+        self.assertNotIn('u', after.lapsed)
+
     def test_relay_of_the_new_era(self) -> None:
         """Nothing is dropped by it: a reading of one's own is due."""
         relay: messages.Relay = {
