--- a/src/bilberryglade/_admission/tests/test_by_worth.py
+++ b/src/bilberryglade/_admission/tests/test_by_worth.py
@@ -127,7 +127,9 @@
     def test_dispatcher_is_lost_between_grant_and_end(self) -> None:
         """Ends that come to a successor end nothing and free nothing."""
         ledger = permits.PermitLedger(
-            lambda *_: [samples.target()], lambda _: 0, self.gate
+            lambda *_: [samples.target()],
+            lambda _: 0,
+            admission_gate=self.gate,
         )
         finished = send_results.FinishedSend(send_results.SendResult.good, WORK)
         ledger.end_permit(('e1', 7), finished, NOW)
@@ -139,7 +141,7 @@
         ledger.expire(NOW + 9, set())
         self.assertFalse(ledger.permits)
         ledger.expire(NOW + 99, set())
-        self.assertFalse(self.admission_gate=gate.memories)
+        self.assertFalse(self.gate.memories)
 
     def test_successor_without_memory_refuses_or_floods(self) -> None:
         """It begins as `first_come` does and has learnt within 2 s."""
--- a/src/bilberryglade/_delivery/crash_records.py
+++ b/src/bilberryglade/_delivery/crash_records.py
@@ -169,6 +169,17 @@
         self.is_stored.update(known)
         self.evidence.learn(known, clock.now())
 
+    def restore(self) -> None:
+        """Writes again what a store that came back older may have lost.
+
+        Only the coordinator does: all know the same, and what another instance
+        alone knows is written with its next change.
+        """
+        if not self.lease.holds or not self.storage.client.eras.era:
+            return
+        for digest in sorted({*self.is_stored, *self.evidence.blamed}):
+            self.storage.write(digest)
+
     def mark(self) -> int:
         """Returns what differs between instances that refuse other requests."""
         return self.evidence.mark()
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -120,7 +120,9 @@
         )
         self.fleet = fleet.Fleet(own, self.peers, known.members)
         self.candidacy = candidacy.Candidacy(self.fleet, client)
-        self.enrolment = enrolment.Enrolment(self.fleet, client, self.candidacy)
+        self.enrolment = enrolment.Enrolment(
+            self.fleet, client, self.candidacy, known.keys
+        )
         self.reader = reading.Reader(
             self.fleet, client, self.candidacy, place.bounds.drain
         )
@@ -164,6 +166,8 @@
         )
         self._wire_rollouts(client)
         self._wire_requests()
+        client.eras.on_rise.append(self.crashes.restore)
+        self.exchanges.watch_store(client.eras)
 
     def instances(self) -> int:
         """Returns how many instances share limits."""
@@ -211,6 +215,7 @@
             not self.stopping.is_set()
             and known.catalogue is not None
             and topics.TARGETS in known.read_at
+            and self.operators.is_settled()
         )
 
     def forget_gone(self) -> None:
@@ -240,7 +245,7 @@
     def _wire_requests(self) -> None:
         self.pools = pools.Pools(self.fleet, self.candidacy, self.organisations)
         self.desks = desks.Desks(self.fleet, self.candidacy, self.pools)
-        self.candidacy.on_start.append(self.pools.begin)
+        self.candidacy.on_start.extend((self.pools.begin, self.crashes.restore))
         capacity = policies.policy_for(self.place.contracts)
         ledger = permits.PermitLedger(
             self.targets_of,
