--- a/src/bilberryglade/_capacity/tests/test_failures.py
+++ b/src/bilberryglade/_capacity/tests/test_failures.py
@@ -9,11 +9,11 @@
 from hypothesis import strategies
 
 from bilberryglade._capacity import curve, learning, limits, policies
-from bilberryglade._capacity.tests import load_model
 from bilberryglade._delivery import permits, send_results
 from bilberryglade._targets import choosing, directory, standing
 from bilberryglade._targets.tests import samples
 from bilberryglade._values import outcomes
+from bilberryglade_lab.experiments import target_load
 
 SLOWED: typing.Final = (1.0, 1.0, 1.2, 4.0)
 WIDE: typing.Final = (1.0, 1.0, 1.0, 1.0)
@@ -24,11 +24,11 @@
 
 def busy_model(
     slow_down: tuple[float, ...] = SLOWED, seed: int = 1
-) -> load_model.Model:
+) -> target_load.Model:
     """Returns a model of one busy target, not started yet."""
-    kind = load_model.TargetKind(1.0, slow_down)
-    callers = load_model.CallerKind(BUSY)
-    return load_model.Model(policies.LEARNT, [kind], [callers], seed)
+    kind = target_load.TargetKind(1.0, slow_down)
+    callers = target_load.CallerKind(BUSY)
+    return target_load.Model(policies.LEARNT, [kind], [callers], seed)
 
 
 def _always(
@@ -37,14 +37,14 @@
     return told
 
 
-def learnt_of(model: load_model.Model) -> learning.LearntPolicy:
+def learnt_of(model: target_load.Model) -> learning.LearntPolicy:
     """Returns the policy of a model's ledger."""
     policy = model.ledger.capacity
     assert isinstance(policy, learning.LearntPolicy)
     return policy
 
 
-def life_in(model: load_model.Model) -> learning.Life:
+def life_in(model: target_load.Model) -> learning.Life:
     """Returns what the model's ledger has learnt of its only target."""
     return next(iter(learnt_of(model).lives.values()))
 
@@ -53,7 +53,7 @@
     """Another dispatcher takes over; the target never gets what it can't queue."""
 
     def replace(
-        self, model: load_model.Model, *, hand_over: bool
+        self, model: target_load.Model, *, hand_over: bool
     ) -> learning.LearntPolicy:
         """Replaces the ledger; the reports of earlier permits are lost."""
         former = learnt_of(model)
--- a/src/bilberryglade/_capacity/tests/test_handover.py
+++ b/src/bilberryglade/_capacity/tests/test_handover.py
@@ -5,13 +5,13 @@
 from unittest import mock
 
 from bilberryglade._capacity import curve, handover, learning, limits, policies
-from bilberryglade._capacity.tests import load_model
 from bilberryglade._codec import codec
 from bilberryglade._delivery import permit_broker
 from bilberryglade._membership import fleet
 from bilberryglade._targets import directory
 from bilberryglade._targets.tests import samples
 from bilberryglade._values import clock
+from bilberryglade_lab.experiments import target_load
 from bilberryglade_schema import fleet as messages
 
 MEMBERS: typing.Final = ('e1', 'e2', 'e3', 'e4')
@@ -121,10 +121,10 @@
 
     def test_pace(self) -> None:
         """It is what the target finishes at its limit."""
-        model = load_model.Model(
+        model = target_load.Model(
             policies.LEARNT,
-            [load_model.TargetKind(1.0, (1.0, 1.0, 1.0, 1.0))],
-            [load_model.CallerKind(45)],
+            [target_load.TargetKind(1.0, (1.0, 1.0, 1.0, 1.0))],
+            [target_load.CallerKind(45)],
         )
         model.run(10)
         shown = next(iter(model.policy.learnt(model.now)))
--- a/src/bilberryglade/_capacity/tests/test_load.py
+++ b/src/bilberryglade/_capacity/tests/test_load.py
@@ -7,7 +7,7 @@
 import unittest
 
 from bilberryglade._capacity import learning, policies
-from bilberryglade._capacity.tests import load_model
+from bilberryglade_lab.experiments import target_load
 
 SPEEDS: typing.Final = (0.6, 1.0, 1.4)
 SEEDS: typing.Final = (1, 2, 3, 4)
@@ -52,26 +52,26 @@
 )
 
 
-def play(case: Case, policy: str) -> load_model.Result:
+def play(case: Case, policy: str) -> target_load.Result:
     """Returns the mean result of some seeds, with spells of slow machines."""
     targets = [
-        load_model.TargetKind(speed, case.slow_down, has_spells=True)
+        target_load.TargetKind(speed, case.slow_down, has_spells=True)
         for speed in SPEEDS
     ]
     rate = case.load * len(case.slow_down) * len(SPEEDS) / WORK / max(SPEEDS)
-    played: list[load_model.Result] = []
+    played: list[target_load.Result] = []
     for seed in SEEDS:
-        model = load_model.Model(
+        model = target_load.Model(
             policy,
             targets,
-            [load_model.CallerKind(rate, WORK)],
+            [target_load.CallerKind(rate, WORK)],
             seed,
             case.is_keyed,
             SECONDS,
         )
         model.run()
         played.append(model.result())
-    return load_model.Result(*map(statistics.fmean, zip(*played, strict=True)))
+    return target_load.Result(*map(statistics.fmean, zip(*played, strict=True)))
 
 
 class CallersTests(unittest.TestCase):
@@ -79,7 +79,7 @@
 
     def compare(
         self, case: Case
-    ) -> tuple[load_model.Result, load_model.Result]:
+    ) -> tuple[target_load.Result, target_load.Result]:
         """Prints and returns the results of both policies."""
         before = play(case, policies.CONFIGURED)
         after = play(case, policies.LEARNT)
@@ -116,16 +116,16 @@
 
     def busy(
         self,
-        first: load_model.TargetKind,
-        changed: load_model.TargetKind,
+        first: target_load.TargetKind,
+        changed: target_load.TargetKind,
         seed: int = 1,
-    ) -> tuple[load_model.Model, learning.Life]:
+    ) -> tuple[target_load.Model, learning.Life]:
         """Returns a model that ran up to the change at 10 s."""
         kind = first._replace(changes_at=10, changed=changed)
-        model = load_model.Model(
+        model = target_load.Model(
             policies.LEARNT,
             [kind],
-            [load_model.CallerKind(40)],
+            [target_load.CallerKind(40)],
             seed,
             seconds=30,
         )
@@ -139,8 +139,8 @@
         for speed in (0.5, 2.0):
             with self.subTest(speed=speed):
                 model, life = self.busy(
-                    load_model.TargetKind(1.0, WIDE),
-                    load_model.TargetKind(speed, WIDE),
+                    target_load.TargetKind(1.0, WIDE),
+                    target_load.TargetKind(speed, WIDE),
                 )
                 model.run(12)
                 seconds = life.seconds(12)
@@ -152,8 +152,8 @@
         for seed in range(1, 7):
             with self.subTest(seed=seed):
                 model, life = self.busy(
-                    load_model.TargetKind(1.0, WIDE),
-                    load_model.TargetKind(1.0, (1.0, 1.0, 1.2, 4.0)),
+                    target_load.TargetKind(1.0, WIDE),
+                    target_load.TargetKind(1.0, (1.0, 1.0, 1.2, 4.0)),
                     seed,
                 )
                 self.assertEqual(life.usable_places(), 4)
@@ -165,8 +165,8 @@
     def test_limit_rises_after_a_slow_down(self) -> None:
         """A target that is well again gets its places back."""
         model, life = self.busy(
-            load_model.TargetKind(1.0, (1.0, 1.0, 1.2, 4.0)),
-            load_model.TargetKind(1.0, WIDE),
+            target_load.TargetKind(1.0, (1.0, 1.0, 1.2, 4.0)),
+            target_load.TargetKind(1.0, WIDE),
         )
         self.assertLess(life.usable_places(), 4)
         model.run(20)
--- a/src/bilberryglade/_capacity/tests/test_planning.py
+++ b/src/bilberryglade/_capacity/tests/test_planning.py
@@ -5,9 +5,9 @@
 from unittest import mock
 
 from bilberryglade._capacity import learning, policies
-from bilberryglade._capacity.tests import load_model
 from bilberryglade._ownership import planning, ranges, shares
 from bilberryglade._values import clock
+from bilberryglade_lab.experiments import target_load
 
 #: Factor by which full targets of the test slow down.
 SLOW_DOWN: typing.Final = 2.4
@@ -24,11 +24,11 @@
     def reported(self, policy: str) -> dict[str, float]:
         """Returns the work times that a dispatcher reports to the coordinator."""
         kinds = [
-            load_model.TargetKind(1.0, (1.0, 1.0, 1.0, 1.0)),
-            load_model.TargetKind(1.0, (1.0, 1.0, 1.2, SLOW_DOWN)),
+            target_load.TargetKind(1.0, (1.0, 1.0, 1.0, 1.0)),
+            target_load.TargetKind(1.0, (1.0, 1.0, 1.2, SLOW_DOWN)),
         ]
-        callers = load_model.CallerKind(55)
-        model = load_model.Model(policy, kinds, [callers])
+        callers = target_load.CallerKind(55)
+        model = target_load.Model(policy, kinds, [callers])
         model.run(15)
         with mock.patch.object(clock, 'now', lambda: model.now):
             return model.ledger.work_seconds(0)
@@ -47,10 +47,10 @@
 
     def test_trial_moves_no_keys(self) -> None:
         """A limit that is only tried leaves the reported time as it is."""
-        model = load_model.Model(
+        model = target_load.Model(
             policies.LEARNT,
-            [load_model.TargetKind(1.0, (1.0, 1.0))],
-            [load_model.CallerKind(30)],
+            [target_load.TargetKind(1.0, (1.0, 1.0))],
+            [target_load.CallerKind(30)],
         )
         model.run(10)
         policy = model.policy
--- a/src/bilberryglade/_capacity/tests/load_model.py
+++ b/src/bilberryglade_lab/experiments/target_load.py
@@ -12,7 +12,6 @@
 from bilberryglade._capacity import policies
 from bilberryglade._delivery import permits, send_results
 from bilberryglade._targets import choosing, directory, standing
-from bilberryglade._targets.tests import samples
 
 #: One way between instances, and between an instance and a target, in seconds.
 LATENCY: typing.Final = 0.0014
@@ -90,7 +89,18 @@
         self.kind = kind
         self.chance = chance
         self.places = len(kind.slow_down)
-        self.entry = samples.target(name=name, places=self.places)
+        self.entry = directory.Target(
+            name=name,
+            born=1,
+            service='s',
+            address='127.0.0.1:1',
+            failure_domain='a',
+            places=self.places,
+            is_draining=False,
+            cold_until=0,
+            sequence=1,
+            offset=1,
+        )
         self.running: list[Job] = []
         self.waiting: list[Job] = []
         self.pace = 1.0
