Rollouts: the full load is tried beside the old version before it empties

A version that is bad only under nearly all requests was sealed before that showed, since the old one gave no answers to compare with any more. The share goes to 0.95 first, and answers of a time without old ones tell nothing. terms.contracts that is no list of names asks for nothing instead of ending the start (found by test_unknown_words, which failed since contracts are decoded).

--- a/src/bilberryglade/_knowledge/knowledge.py
+++ b/src/bilberryglade/_knowledge/knowledge.py
@@ -88,7 +88,8 @@
         ]
         if not self.is_versioned:
             return found
-        return [target for target in found if self.allows(target)]
+        allowed = self.allowed.get(service, frozenset())
+        return [target for target in found if target.version in allowed]
 
 
 def learn(
--- a/src/bilberryglade/_rollouts/evidence.py
+++ b/src/bilberryglade/_rollouts/evidence.py
@@ -19,6 +19,10 @@
 #: Weight that the old version's answers keep from window to window: routes with
 #: few answers need more than one window for a rate.
 KEPT_WEIGHT: typing.Final = 0.5
+#: Windows without an answer of the old version after which there is nothing to
+#: compare with: a spell in which everything fails must not tell against the new
+#: version alone.
+OLDEST_WINDOWS: typing.Final = 1
 #: Classes of times by which slow work lies above the old version's median: 2.4
 #: times as long. Targets of one service differ by less from their median.
 SLOW_CLASSES: typing.Final = 4
@@ -88,6 +92,8 @@
     answers: float = 0
     bad: float = 0
     times: immutables.Map[int, float] = immutables.Map()
+    #: Windows since its last answer.
+    age: int = 0
 
 
 class Evidence(typing.NamedTuple):
@@ -113,7 +119,10 @@
     evidence = _with_old(evidence, old)
     scores = evidence.scores
     for sample in new:
-        base = evidence.baselines.get(sample.key.route, Baseline())
+        base = evidence.baselines.get(sample.key.route)
+        if base is None or base.age > OLDEST_WINDOWS:
+            # Nothing of the same time to compare with.
+            continue
         added = _score(sample.cell, base)
         for group in _groups_of(sample):
             score = scores.get(group, Score())
@@ -132,7 +141,12 @@
 
 def _with_old(evidence: Evidence, old: abc.Sequence[Sample]) -> Evidence:
     """Returns the evidence after a window; a route without answers stays."""
-    baselines = evidence.baselines
+    baselines = immutables.Map(
+        {
+            route: base._replace(age=base.age + 1)
+            for route, base in evidence.baselines.items()
+        }
+    )
     old_answers = evidence.old_answers
     by_route: dict[str, list[counting.Cell]] = {}
     for sample in old:
@@ -183,9 +197,15 @@
 def _excess(
     tried: float, counted: float, old_counted: float, old_tried: float
 ) -> Excess:
-    """Returns a count beside what the old version's rate lets expect."""
+    """Returns a count beside what the old version's rate lets expect.
+
+    Few answers of the old version are no certain rate: its own variance is that
+    with one more bad and one more good answer.
+    """
     if not old_tried:
-        return Excess(tried, counted)
+        return Excess(tried, counted, tried, tried * tried)
     rate = old_counted / old_tried
-    variance = tried * rate * (1 - rate) * (1 + tried / old_tried)
-    return Excess(tried, counted, tried * rate, variance)
+    careful = (old_counted + 1) / (old_tried + 2)
+    own = tried * rate * (1 - rate)
+    of_rate = tried * tried / old_tried * careful * (1 - careful)
+    return Excess(tried, counted, tried * rate, own + of_rate)
--- a/src/bilberryglade/_rollouts/share.py
+++ b/src/bilberryglade/_rollouts/share.py
@@ -2,8 +2,9 @@
 
 import typing
 
-#: Requests for the new version that may be made up for, after it took none.
-MOST_CREDIT: typing.Final = 1.5
+#: Requests for the new version that may be made up for, after it took none. Less
+#: than two would take from shares close to one.
+MOST_CREDIT: typing.Final = 2.0
 
 
 class Turn(typing.NamedTuple):
--- a/src/bilberryglade/_rollouts/stepper.py
+++ b/src/bilberryglade/_rollouts/stepper.py
@@ -31,13 +31,16 @@
 WORTH_WIDENING: typing.Final = 1.3
 #: Shares of the steps after a good verdict.
 GROWING_SHARES: typing.Final = (0.25, 0.5)
+#: Share with which the full load is tried; the rest stays for comparison.
+TRIED_SHARE: typing.Final = 0.95
 #: Parts of the order's time: the earliest good verdict, the length of a step,
-#: and the end of growing, which leaves time for the last moves of keys and the
-#: longest requests. With steps of 0.25 and 0.5 the new version has had 0.09 of
-#: all requests of that time by then.
-VERDICT_PART: typing.Final = 0.45
+#: the trial of the full load, and the end of it, which leaves time for the last
+#: moves of keys and the longest requests. With steps of 0.25 and 0.5 the new
+#: version has had 0.09 of all requests of that time when the full load comes.
+VERDICT_PART: typing.Final = 0.42
 STEP_PART: typing.Final = 0.08
-GROWN_PART: typing.Final = 0.62
+TRIED_PART: typing.Final = 0.58
+GROWN_PART: typing.Final = 0.68
 #: Seconds that an order may be extended by while the store is not stable.
 STRETCH_SECONDS: typing.Final = 5.0
 #: Seconds from the order below which a rate of requests is not computed.
@@ -159,7 +162,7 @@
     passed = (now - rollout.began_at) / rollout.seconds
     is_judged = facts.judged.is_enough and passed >= VERDICT_PART
     has_time_passed = (
-        passed >= GROWN_PART - STEP_PART
+        passed >= TRIED_PART - STEP_PART
         and now - rollout.stepped_at >= LEAST_OPEN_PART * rollout.seconds
     )
     if is_judged or (has_time_passed and not facts.judged.is_doubtful):
@@ -181,9 +184,12 @@
     passed = (now - rollout.began_at) / rollout.seconds
     if now - rollout.stepped_at < STEP_PART * rollout.seconds:
         return rollout
-    if passed >= GROWN_PART:
+    is_tried = rollout.share >= TRIED_SHARE
+    if is_tried and passed >= GROWN_PART:
         return _moved(rollout, phases.Trigger.grown, now, ALL_SHARE, 'grown')
-    share = _next_share(rollout, facts, bounds, now)
+    share = TRIED_SHARE
+    if passed < TRIED_PART:
+        share = _next_share(rollout, facts, bounds, now)
     if share <= rollout.share:
         return rollout
     return rollout._replace(share=share, stepped_at=now)
--- a/src/bilberryglade/_rollouts/tests/test_exploration.py
+++ b/src/bilberryglade/_rollouts/tests/test_exploration.py
@@ -8,6 +8,9 @@
 from bilberryglade._rollouts.tests import simulation
 
 SEEDS: typing.Final = range(2)
+#: Seconds from the order at which nearly all, and all, are at the new version.
+TRIED_AT: typing.Final = 7.2
+EMPTYING_AT: typing.Final = 8.6
 GOOD: typing.Final = simulation.Answer()
 FAILED: typing.Final = simulation.Answer(counting.Ending.failed)
 LOST: typing.Final = simulation.Answer(counting.Ending.lost)
@@ -46,6 +49,13 @@
     return fails(send, chance) if send.at > 4 else GOOD
 
 
+def fails_with_everything(
+    send: simulation.Send, chance: random.Random
+) -> simulation.Answer:
+    """Fails when it has nearly all requests."""
+    return fails(send, chance) if send.at > TRIED_AT else GOOD
+
+
 def fails_on_a_route(
     send: simulation.Send, chance: random.Random
 ) -> simulation.Answer:
@@ -82,6 +92,14 @@
     return FAILED if is_hit else GOOD
 
 
+def fail_in_the_end(
+    send: simulation.Send, chance: random.Random
+) -> simulation.Answer:
+    """Part of everything fails when all requests are at the new version."""
+    is_hit = send.at > EMPTYING_AT and happens(chance, 0.5)
+    return FAILED if is_hit else GOOD
+
+
 def bad_link(send: simulation.Send, chance: random.Random) -> simulation.Answer:
     """One instance loses half of its answers."""
     is_hit = send.instance == 2 and happens(chance, 0.5)
@@ -94,6 +112,7 @@
     simulation.Case('good beside a bad neighbour', True, has_bad_neighbour),
     simulation.Case('good while everything is slow', True, all_slow),
     simulation.Case('good while everything fails', True, all_fail),
+    simulation.Case('good, everything fails in the end', True, fail_in_the_end),
     simulation.Case('good over a bad link', True, bad_link),
     simulation.Case('good, coordinator changes', True, good, (3, 5)),
     simulation.Case('bad from the start', False, fails),
@@ -101,6 +120,7 @@
     simulation.Case('loses answers', False, loses),
     simulation.Case('slow', False, is_slow),
     simulation.Case('bad late', False, fails_late),
+    simulation.Case('bad with everything', False, fails_with_everything),
     simulation.Case('bad on one route', False, fails_on_a_route),
     simulation.Case('bad under load', False, fails_under_load),
     simulation.Case('bad, coordinator changes', False, fails, (0.8, 2.8)),
@@ -129,5 +149,8 @@
             return
         self.assertIs(outcome.phase, phases.Phase.rolled_back)
         self.assertLess(outcome.trailing, bounds.rollback)
+        if case.answer is fails_with_everything:
+            # The share has to be all before the deadline, beyond any bound.
+            return
         allowed = bounds.exposure_share * outcome.sent
         self.assertLessEqual(outcome.sent_new, allowed + bounds.exposure_slack)
--- a/src/bilberryglade/platform/node_file.py
+++ b/src/bilberryglade/platform/node_file.py
@@ -45,10 +45,17 @@
         link_mbps=process.get('limits', {}).get(
             'link_mbps', site.USUAL_LINK_MBPS
         ),
-        contracts=frozenset(node['terms'].get('contracts', ())),
+        contracts=_contracts(node['terms'].get('contracts')),
     )
 
 
+def _contracts(named: object) -> frozenset[str]:
+    """Returns the names in a list of contracts; none if it is no list."""
+    if not isinstance(named, list):
+        return frozenset()
+    return frozenset(name for name in named if isinstance(name, str))
+
+
 def _processor(limits: provider.ProcessLimits) -> float:
     return limits.get('cpu_share', 1) * limits.get('cores', 1)
 
--- a/src/bilberryglade_schema/provider.py
+++ b/src/bilberryglade_schema/provider.py
@@ -100,7 +100,7 @@
     """
 
     bounds: dict[str, Any]
-    contracts: NotRequired[list[str]]
+    contracts: NotRequired[Any]
 
 
 class Columns(TypedDict):
