Knowledge: a target that was dropped in vain is found again by a reading of one's own

An instance whose own reading fell between the lapse of an entry and its return dropped the target after 2 s. The coordinator, which never missed the entry, told nobody of its return, so the instance never knew of the target again (seed 1020 of the exploration: targets differ at the end). After it drops lapsed targets an instance reads them once for itself.

--- a/src/bilberryglade/_knowledge/reading.py
+++ b/src/bilberryglade/_knowledge/reading.py
@@ -62,6 +62,9 @@
         self.is_answered: dict[str, bool] = {}
         #: Topics of which a relay was missed.
         self.missed: set[str] = set()
+        #: Whether targets were dropped that did not come back in time, and no
+        #: reading of one's own has confirmed it yet.
+        self.has_expired = False
         #: Topics that were asked for in vain since something was last learnt.
         self.silent: set[str] = set()
         #: Seconds at which the call under way for targets' entries began.
@@ -97,6 +100,7 @@
         if isinstance(batch, result.Err):
             return False
         self.missed.discard(topic)
+        self.has_expired = False
         self._tell_turn(began)
         before = self.known.directory
         read = batch.ok_value
@@ -168,6 +172,10 @@
         if listed is not self.known.directory:
             _note_targets(self.known.directory, listed)
             self.known = self.known._replace(directory=listed)
+            # Another reader that never missed them would not tell that they
+            # are back.
+            self.missed.add(topics.TARGETS)
+            self.has_expired = True
             self._tell()
 
     def leave(self, life: directories.Life, used_until: float) -> None:
@@ -234,7 +242,7 @@
 
     def _seconds_to_turn(self) -> float:
         """Returns the seconds until this instance is to read the targets."""
-        if self.lease.holds:
+        if self.lease.holds or self.has_expired:
             return 0
         age = self.known.age(topics.TARGETS, clock.now())
         own = self.members.own.name
