Learnt limits and relief of hot owners only where contracts ask for them

A deployment that names no contracts keeps the configured places, and keys leave the owner of a hot key only under the learnt policy, so that earlier deployments are planned as before.

--- a/src/bilberryglade/_capacity/policies.py
+++ b/src/bilberryglade/_capacity/policies.py
@@ -96,9 +96,12 @@
     """Returns the policy of a deployment with the given contracts.
 
     Deployments that were in service before the learnt policy have tenants and
-    don't ask for behaviour under pressure; they keep the configured places.
+    don't ask for behaviour under pressure; they keep the configured places, as
+    does one that names no contracts.
     """
-    if PRESSURE in contracts or TENANTS not in contracts:
+    if PRESSURE in contracts:
+        return LEARNT
+    if contracts and TENANTS not in contracts:
         return LEARNT
     return CONFIGURED
 
--- a/src/bilberryglade/_instance/entry.py
+++ b/src/bilberryglade/_instance/entry.py
@@ -247,6 +247,9 @@
         self.desks = desks.Desks(self.fleet, self.candidacy, self.pools)
         self.candidacy.on_start.extend((self.pools.begin, self.crashes.restore))
         capacity = policies.policy_for(self.place.contracts)
+        self.steward.relieves_hot_owners = (
+            policies.name_for(self.place.contracts) == policies.LEARNT
+        )
         ledger = permits.PermitLedger(
             self.targets_of,
             self.cold_spacing,
--- a/src/bilberryglade/_ownership/planning.py
+++ b/src/bilberryglade/_ownership/planning.py
@@ -60,12 +60,15 @@
     loads: ranges.Loads,
     may_balance: bool,
     moving: abc.Set[ranges.Range] = NONE_MOVING,
+    *,
+    relieves_hot_owners: bool = False,
 ) -> Plan:
     """Returns the planned table; without candidates the table stays as it is.
 
     The hottest block of keys may move in any plan; other load is balanced only
     if `may_balance` is true. Neither moves the `moving` ranges, which their
-    owners have not been granted yet.
+    owners have not been granted yet. With `relieves_hot_owners`, other keys leave
+    the owner of a block that alone fills its places, however loaded the rest are.
     """
     if not candidates:
         return Plan(table, is_changed=False)
@@ -78,7 +81,9 @@
     if planned == table:
         planned = _with_hot_block_moved(planned, candidates, loads, moving)
     if may_balance and planned == table:
-        swamped = _owner_of_hot_block(planned, candidates, loads)
+        swamped = None
+        if relieves_hot_owners:
+            swamped = _owner_of_hot_block(planned, candidates, loads)
         for _ in range(MAX_BALANCE_MOVES):
             planned = _balanced(planned, candidates, loads, moving, swamped)
     planned = ranges.merged(planned)
--- a/src/bilberryglade/_ownership/table_manager.py
+++ b/src/bilberryglade/_ownership/table_manager.py
@@ -103,6 +103,8 @@
         self.balanced_at: float = 0
         self.checked_at: float = 0
         self.updates = table_updates.TableUpdates(members)
+        #: Whether other keys leave the owner of a key that fills its places.
+        self.relieves_hot_owners = False
         #: Plans a service whose targets are replaced by others; None if the
         #: usual plan holds.
         self.plan_move: PlanMove = lambda *_: None
@@ -330,6 +332,7 @@
             loads,
             may_balance=may_balance,
             moving=owners.moving_ranges(self.tables, service),
+            relieves_hot_owners=self.relieves_hot_owners,
         )
         if planned.is_changed:
             _log_plan(service, before, planned.table, weighted, loads)
