--- a/src/bilberryglade/_delivery/request_sender.py
+++ b/src/bilberryglade/_delivery/request_sender.py
@@ -91,6 +91,10 @@
         )
         #: Called with each target that said in an answer that it leaves.
         self.on_leaving: abc.Callable[[directory.Target], None] = lambda _: None
+        #: Whether this instance may send to a cold target, by its name and the
+        #: number of instances that may: worked out anew as members change.
+        self.warming: dict[tuple[str, int], bool] = {}
+        self.warming_version = -1
         #: Ids of requests that are being sent and may run only once.
         self.in_flight_unrepeatable: set[str] = set()
 
@@ -221,14 +225,25 @@
         if not cold_rate:
             return True
         warming_count = int(cold_rate - COLD_RATE_MARGIN)
-        names = self.members.members
-        if len(names) <= warming_count:
+        if len(self.members.members) <= warming_count:
             return True
-        own_score = spreading.score(self.members.own.name, target.name)
-        higher_scores = sum(
-            spreading.score(name, target.name) > own_score for name in names
+        if self.warming_version != self.members.version:
+            self.warming_version = self.members.version
+            self.warming.clear()
+        key = (target.name, warming_count)
+        may_warm = self.warming.get(key)
+        if may_warm is None:
+            may_warm = self._rank(target.name) < warming_count
+            self.warming[key] = may_warm
+        return may_warm
+
+    def _rank(self, target: str) -> int:
+        """Returns how many instances come before this one at a target."""
+        own_score = spreading.score(self.members.own.name, target)
+        return sum(
+            spreading.score(name, target) > own_score
+            for name in self.members.members
         )
-        return higher_scores < warming_count
 
 
 def _text_of(outcome: outcomes.Outcome) -> str:
--- a/src/bilberryglade/_delivery/tests/test_request_sender.py
+++ b/src/bilberryglade/_delivery/tests/test_request_sender.py
@@ -79,3 +79,27 @@
         sending.cancel()
         await asyncio.wait((sending,))
         self.assertFalse(self.sender.is_unrepeatable_in_flight(request))
+
+
+class WarmingTests(SenderCase):
+    """Which instances may send to a cold target that no dispatcher grants."""
+
+    def may_warm(self) -> bool:
+        """Returns whether this instance may."""
+        return self.sender.view(self.target).may_warm
+
+    def test_choice_follows_the_members(self) -> None:
+        """Guards against too many senders, or none, after members changed."""
+        members = self.sender.members
+        self.sender.cold_rate_limit = lambda _: 4
+        seen = set()
+        for number in range(40):
+            name = f'm{number}'
+            members.take(fleet.Member(name, 'boot', f'127.0.0.1:{number}', 'x'))
+            expected = self.sender._rank('t') < 2  # noqa: SLF001
+            self.assertEqual(self.may_warm(), expected or number < 1)
+            seen.add(self.may_warm())
+        self.assertEqual(seen, {True, False})
+        for number in range(39):
+            members.drop(f'm{number}')
+        self.assertTrue(self.may_warm())
--- a/src/bilberryglade/_ownership/owners.py
+++ b/src/bilberryglade/_ownership/owners.py
@@ -76,10 +76,11 @@
     """
     services = dict(current.services)
     for service, entries in changes.services.items():
+        end_keys = [owned.entry.last + 1 for owned in entries]
         kept = [
             owned
             for owned in services.get(service, ())
-            if not _overlaps_any(owned.entry, entries)
+            if not _overlaps_any(owned.entry, entries, end_keys)
         ]
         services[service] = tuple(
             sorted((*kept, *entries), key=lambda owned: owned.entry.first)
@@ -267,21 +268,21 @@
 
 
 def _overlaps_any(
-    entry: ranges.Range, ordered_ranges: abc.Sequence[OwnedRange]
+    entry: ranges.Range,
+    ordered_ranges: abc.Sequence[OwnedRange],
+    end_keys: abc.Sequence[int],
 ) -> bool:
-    """Returns whether a range overlaps one of `ordered_ranges`, sorted by key."""
-    index = bisect.bisect(ordered_ranges, entry.first, key=_end_key)
+    """Returns whether a range overlaps one of `ordered_ranges`, sorted by key.
+
+    `end_keys` are the first keys behind each of them: `last` is inclusive.
+    """
+    index = bisect.bisect(end_keys, entry.first)
     return (
         index < len(ordered_ranges)
         and ordered_ranges[index].entry.first <= entry.last
     )
 
 
-def _end_key(owned: OwnedRange) -> int:
-    # `last` is inclusive, so a range that ends at a key overlaps that key.
-    return owned.entry.last + 1
-
-
 def _to_row(
     entry: ranges.Range,
     indexes: dict[ranges.Owner, int],
